A host's 400 ends its request and is no evidence against the host

The gateway took such an answer for a server error: it tried the request again at a second host, and each 400 marked a healthy host as failing, so that originals left it alone for a second or more and the others jammed.

400 and 404 are now an outcome of their own, REJECTED: the request fails at once and no host is held to be sick. 429 and the like stay errors.

--- a/bridgesaddle/api.py
+++ b/bridgesaddle/api.py
@@ -49,6 +49,7 @@
     CANCELLED = "cancelled"
     MOOT = "moot"
     SPOILT = "spoilt"   # an answer has begun that is of no use; it may have run
+    REJECTED = "rejected"   # the server takes the request itself for wrong; whether it ran is not told
 
 
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -707,6 +707,10 @@
             request.anchor = None
         if request.streaming or request.live:
             return
+        if outcome is Outcome.REJECTED:
+            self._drop(request, missed=False)
+            self._act.fail(request.rid)   # at once, and not refused: the same again would fare no better
+            return
         if request.cls.effect is Effect.UNSAFE and request.anchor is not None:
             self._end(request, now)   # given up: it may have run, so that no retry is to come
             return
@@ -719,11 +723,13 @@
         """Whether a failure is evidence against its server.
 
         Guards against shunning them all, and a limit that falls, for connections that break: a few say
-        nothing of a server's delay, and the fewer requests there are the more each one weighs.
+        nothing of a server's delay, and the fewer requests there are the more each one weighs.  A rejection
+        speaks against the request: every server that got it would look sick in turn.
         """
         if outcome in BROKEN:
             return server.broken >= BROKEN_ROW
-        return outcome is not Outcome.CANCELLED and outcome is not Outcome.MOOT
+        return outcome is not Outcome.CANCELLED and outcome is not Outcome.MOOT \
+            and outcome is not Outcome.REJECTED
 
     def _failed_one(self, request: _Request, server: _Server, outcome: Outcome, spent: int,
                     now: int) -> None:
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -37,6 +37,8 @@
 """Headers that concern one connection, or that the gateway words itself."""
 
 LOAD = b"x-server-load"
+REJECTS = frozenset((400, 404))
+"""A host answers so to what is wrong with the request; another host would say the same."""
 
 Header = tuple[bytes, bytes]
 
@@ -297,7 +299,7 @@
         marks = [value for name, value in answer.headers if name.lower() == b"x-not-processed"]
         if marks == [b"1"]:
             return Outcome.FULL
-    return Outcome.ERROR
+    return Outcome.REJECTED if answer.status in REJECTS else Outcome.ERROR
 
 
 class Upstream:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -361,3 +361,20 @@
         assert gateway.ends[rid] == "fail"
         assert (server.bad > 0.0) == (number == BROKEN_ROW - 1)
     assert not gateway.broken
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+def test_a_rejected_request_is_answered_at_once_and_speaks_against_no_server(effect: Effect) -> None:
+    """Each request that hosts answer 400 was tried at two of them, and both were left alone for seconds."""
+    gateway = Gateway(some_settings(a_class(effect)), [entry(f"h{n}") for n in range(4)])
+    settle(gateway, 40, 20 * MS)
+    rid = gateway.request()
+    before = len(gateway.sends)
+    gateway.outcome(rid, Outcome.REJECTED, spent_ns=MS)
+    assert gateway.ends[rid] == "fail"
+    assert len(gateway.sends) == before
+    assert not any(server.bad or server.fails for server in gateway.module._servers.values())
+    gateway.run(gateway.now + 2 * SECOND)
+    assert len(gateway.sends) == before
+    assert not gateway.module._requests
+    assert not gateway.broken
