After a late ring, read the sockets before timers ring

A gateway that was held up timed out attempts whose answers lay in its sockets: the loop rings timers before it reads. It is stopped for some 150 ms soon after its start (SIGSTOP seen by strace; it has used up its CPU share by then).

A ring that is more than 5 ms late now gives the loop one turn first.

--- a/gateway/timers.py
+++ b/gateway/timers.py
@@ -10,6 +10,9 @@
 
 __all__ = ["Timers", "now_ns"]
 
+LATE = 5_000_000
+"""A ring so late, in ns, shows that the program was held up: what has come meanwhile is read first."""
+
 
 class Timers:
     """Calls at monotonic times, from one heap behind one timer of the loop; none rings early."""
@@ -20,6 +23,7 @@
         self._count = 0
         self._armed: asyncio.TimerHandle | None = None
         self._armed_for = 0
+        self._caught_up = False   # the loop has had a turn since a late ring
 
     def after(self, delay_ns: int, call: Callable[[Any], None], argument: Any) -> None:
         """Call once so much time has passed."""
@@ -43,6 +47,12 @@
     def _ring(self) -> None:
         self._armed = None
         heap, now = self._heap, now_ns()
+        if now - self._armed_for > LATE and not self._caught_up:
+            # Guards against time-outs of what was answered in time: the loop rings before it reads.
+            self._caught_up = True
+            self._armed = self._loop.call_later(0.001, self._ring)
+            return
+        self._caught_up = False
         try:
             while heap and heap[0][0] <= now:
                 _, _, call, argument = heappop(heap)
