An answer counts in a class's usual latency by the units of its hint

Usual latency was a mean of ratios, time over hint. Every answer then seemed early: the zone's delay was read as -490 ms of at most 500, its limit grew to 37 for two hosts, nothing spilled, and both hosts stood jammed from 10 s on (130 attempts a second cancelled at each) beside an idle zone. Trigger: one of three hosts of the zone draining at 5.3 s.

Mean, deviation and usual are now all time over all units. Ruled out: the network code (answers take 152 us through it), the drain itself (the host got nothing more within 0.6 s), full hosts (25 refusals in 22 s).

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -156,8 +156,8 @@
 class _Class:
     """What this gateway has seen of one class of requests."""
 
-    __slots__ = ("aim", "effect", "group", "late", "mean", "seen", "sent_at", "spread", "stream",
-                 "stretch", "usual", "window", "worth")
+    __slots__ = ("aim", "effect", "group", "late", "mean", "mean_units", "sent_at", "spread", "stream",
+                 "stretch", "usual", "usual_units", "window", "worth")
 
     def __init__(self, effect: Effect, group: Group, window: int, aim: int, stream: bool,
                  worth: float, late: float, stretch: float) -> None:
@@ -165,8 +165,9 @@
         self.window, self.aim, self.stretch = window, aim, stretch
         self.stream = stream
         self.worth, self.late = worth, late
+        # Latency for each unit of a request's hint.
         self.mean = self.spread = self.usual = 0.0
-        self.seen = 1
+        self.mean_units = self.usual_units = 0.0   # the units that these stand for, older ones fading
         self.sent_at = 0
 
 
@@ -407,14 +408,18 @@
         cls = request.cls
         unit = request.hint or 1
         sample = spent / unit
+        # An answer counts by its units: these are all the time over all the units.  Guards against small
+        # hints: one of a thousandth, kept waiting, made a thousandfold time usual, and no jam was seen.
+        cls.mean_units += unit - LATENCY_W * cls.mean_units
+        cls.usual_units += unit - USUAL_W * cls.usual_units
         if not cls.mean:
             cls.mean, cls.spread, cls.usual = sample, sample / 2, sample
         else:
             error = sample - cls.mean
-            cls.mean += LATENCY_W * error
-            cls.spread += LATENCY_W * (abs(error) - cls.spread)
-            cls.seen += 1
-            weight = max(USUAL_W, 1.0 / cls.seen)
+            weight = unit / cls.mean_units
+            cls.mean += weight * error
+            cls.spread += weight * (abs(error) - cls.spread)
+            weight = unit / cls.usual_units
             if sample > cls.usual and self._q(self._pool_of(server), POOL_T1, now) > Q_MIN * POOL_T1:
                 weight *= USUAL_JAM  # a jam must not become usual
             cls.usual += weight * (sample - cls.usual)
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -181,13 +181,14 @@
                     self.barred.setdefault(host, self.now)
         self.module.on_list(self.now, kind, entries)
 
-    def request(self, cls: int = 0, ttl_ns: int | None = None, tenant: int = 0, repeat: bool = False) -> int:
+    def request(self, cls: int = 0, ttl_ns: int | None = None, tenant: int = 0, repeat: bool = False,
+                hint_ns: int = 0) -> int:
         """A client's request; returns its id."""
         self.rid += 1
         kind = self.settings.classes[cls]
         ttl = kind.deadline_ns if ttl_ns is None else ttl_ns
         self.held[self.rid] = _Held(kind, self.now + ttl)
-        self.module.on_request(self.now, self.rid, cls, tenant, 0, ttl, 0, repeat)
+        self.module.on_request(self.now, self.rid, cls, tenant, 0, ttl, hint_ns, repeat)
         return self.rid
 
     def outcome(self, rid: int, outcome: Outcome, attempt: int | None = None, spent_ns: int | None = None,
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -378,3 +378,22 @@
     assert len(gateway.sends) == before
     assert not gateway.module._requests
     assert not gateway.broken
+
+
+def test_a_small_hint_that_waits_does_not_hide_a_jam() -> None:
+    """One request of a microsecond, kept 50 ms, made a thousandfold latency usual: jams were read as rest."""
+    gateway = Gateway(some_settings(a_class(late_worth=0.0)), [entry(f"h{n}") for n in range(4)])
+
+    def serve(hint_ns: int, spent_ns: int) -> None:
+        rid = gateway.request(hint_ns=hint_ns)
+        gateway.run(gateway.now + spent_ns)
+        gateway.outcome(rid, Outcome.OK, spent_ns=spent_ns)
+        gateway.run(gateway.now + 2 * MS)
+
+    for _ in range(200):
+        serve(10 * MS, 10 * MS)
+    serve(1000, 50 * MS)
+    for _ in range(40):
+        serve(10 * MS, 60 * MS)
+    near = gateway.module._near
+    assert gateway.module._q(near, SECOND, gateway.now) > 20 * MS
