Attempts that fail together double a host's hold once, not each

Evidence against a host stands twice as long for each failure in a row. A failure now counts in that row only if its attempt was sent after the last one was known.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -103,12 +103,13 @@
 class _Estimate:
     """A smoothed queueing delay: of one server, or of a pool of them."""
 
-    __slots__ = ("bad", "fails", "q_at", "q_avg")
+    __slots__ = ("bad", "failed_at", "fails", "q_at", "q_avg")
 
     def __init__(self) -> None:
         self.q_avg = 0.0
         self.q_at = 0
-        self.fails = 0
+        self.fails = 0       # in a row, each of an attempt sent after the one before was known
+        self.failed_at = 0   # when the last of them was known
         self.bad = 0.0
 
 
@@ -382,22 +383,31 @@
         idle = now - server.q_at - HOLD * t1 * (1 << min(server.fails, HOLD_DOUBLINGS))
         return server.q_avg if idle <= 0 else server.q_avg * exp(-idle / (DECAY * t1))
 
-    def _observe(self, server: _Estimate, delay: float, t1: int, now: int, failed: bool) -> None:
-        """q_avg <- (1 - w) q_avg + w q, one w_q for each step since the last news."""
+    def _observe(self, server: _Estimate, delay: float, t1: int, now: int, failed_from: int | None) -> None:
+        """q_avg <- (1 - w) q_avg + w q, one w_q for each step since the last news.
+
+        `failed_from` is when an attempt was sent that failed.  Those that were out together fail together:
+        all are one piece of evidence.  Guards against one short hang that is held against a server for as
+        long as many in a row, while the others jam under its load.
+        """
         q = self._q(server, t1, now)
         steps = min(max(MIN_STEPS, (now - server.q_at) / (STEP * t1)), MAX_STEPS)
         server.q_avg = q + (1.0 - (1.0 - W_Q) ** steps) * (delay - q)
         server.q_at = now
-        server.fails = server.fails + 1 if failed else 0
-        server.bad += BAD_W * (failed - server.bad)
-
-    def _note(self, server: _Server, delay: float, t1: int, now: int, failed: bool,
+        if failed_from is None:
+            server.fails = 0
+        elif not server.fails or failed_from >= server.failed_at:
+            server.fails += 1
+            server.failed_at = now
+        server.bad += BAD_W * ((failed_from is not None) - server.bad)
+
+    def _note(self, server: _Server, delay: float, t1: int, now: int, failed_from: int | None = None,
               full: bool = False) -> None:
         """News of a server, and so of the pool it stands in."""
-        server.full = full or (failed and server.full)
-        self._observe(server, delay, t1, now, failed)
+        server.full = full or (failed_from is not None and server.full)
+        self._observe(server, delay, t1, now, failed_from)
         pool = self._pool_of(server)
-        self._observe(pool, max(-POOL_MAX, min(delay / t1, POOL_MAX)) * POOL_T1, POOL_T1, now, failed)
+        self._observe(pool, max(-POOL_MAX, min(delay / t1, POOL_MAX)) * POOL_T1, POOL_T1, now, failed_from)
         self._adapt(pool, full, now)
 
     def _pool_of(self, server: _Server) -> _Pool:
@@ -428,7 +438,7 @@
         if delay < 0:
             # Not cut at zero: work varies as much as delay does, and only a mean around zero says so.
             delay = (sample - cls.usual) * unit
-        self._note(server, delay, request.t1, now, failed=False)
+        self._note(server, delay, request.t1, now)
 
     def _reported_delay(self, server: _Server, spent: int, load: Sequence[float]) -> float:
         """Queue over rate from a load report, in ns; below zero where the report does not tell."""
@@ -746,7 +756,7 @@
         else:
             delay = float(t1)
         full = outcome is Outcome.FULL
-        self._note(server, delay, t1, now, failed=True, full=full)
+        self._note(server, delay, t1, now, now - spent, full)
 
     def on_gone(self, now_ns: int, rid: int) -> None:
         """The client has left."""
@@ -888,7 +898,7 @@
         """
         if attempt.number in attempt.request.live and not attempt.request.streaming:
             t1 = attempt.request.t1
-            self._observe(attempt.server, t1, t1, now, failed=True)
+            self._observe(attempt.server, t1, t1, now, now - t1)
             attempt.overdue = True
             if attempt.server.bad > BAD:
                 self._discount(attempt)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -282,7 +282,7 @@
     gateway = Gateway(some_settings(short, long), [entry("h")])
     server = gateway.module._servers["h"]
     for at in (1, 2):
-        gateway.module._observe(server, SECOND, SECOND, at * SECOND, failed=True)
+        gateway.module._observe(server, SECOND, SECOND, at * SECOND, failed_from=at * SECOND)
     assert gateway.module._shunned(server, 75 * MS, 3400 * MS)
 
 
@@ -397,3 +397,23 @@
         serve(10 * MS, 60 * MS)
     near = gateway.module._near
     assert gateway.module._q(near, SECOND, gateway.now) > 20 * MS
+
+
+def test_attempts_that_fail_together_are_one_piece_of_evidence() -> None:
+    """A host that hung for 3 s with 19 requests out was left alone for 8 s more, and the others jammed."""
+    gateway = Gateway(some_settings(), [entry("h")])
+    settle(gateway, 60, 10 * MS, 0)
+    server = gateway.module._servers["h"]
+    gateway.module._near.limit = 9.0
+    sent = [gateway.request() for _ in range(3)]
+    assert all(gateway.held[rid].out for rid in sent)
+    gateway.run(gateway.now + 200 * MS)
+    for rid in sent:
+        gateway.outcome(rid, Outcome.ERROR, spent_ns=200 * MS)
+        gateway.run(gateway.now + MS)
+    assert server.fails == 1
+    gateway.run(gateway.now + 8 * SECOND)
+    rid = gateway.request()
+    gateway.run(gateway.now + 20 * MS)
+    gateway.outcome(rid, Outcome.ERROR, spent_ns=20 * MS)
+    assert server.fails == 2
