A shunned host takes its part of its zone's limit along

The limit in flight is for all hosts of a zone. What is out and the limit are now both taken over the hosts that originals go to.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -130,7 +130,7 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("broken", "cell", "cold_at", "cold_credit", "cold_from", "cold_until", "full", "host",
-                 "inflight", "latency", "outstanding", "ratio", "state", "weight", "zone")
+                 "inflight", "latency", "outstanding", "ratio", "silent", "state", "weight", "zone")
 
     def __init__(self, entry: HostEntry) -> None:
         self.host = entry.host
@@ -140,6 +140,7 @@
         self.state = HostState.GONE
         self.cold_from = 0
         self.inflight = 0
+        self.silent = 0    # of these, those that take no room
         self.forget()
 
     def forget(self) -> None:
@@ -359,6 +360,7 @@
         if not attempt.silent:
             attempt.silent = True
             attempt.pool.inflight -= 1
+            attempt.server.silent += 1
 
     def _ask_later(self, now: int) -> None:
         """Guards against many gateways asking in step: the pause doubles and is drawn anew each time."""
@@ -408,7 +410,7 @@
         self._observe(server, delay, t1, now, failed_from)
         pool = self._pool_of(server)
         self._observe(pool, max(-POOL_MAX, min(delay / t1, POOL_MAX)) * POOL_T1, POOL_T1, now, failed_from)
-        self._adapt(pool, full, now)
+        self._adapt(pool, full, t1, now)
 
     def _pool_of(self, server: _Server) -> _Pool:
         return self._near if server.zone == self._set.zone else self._far
@@ -494,7 +496,7 @@
         for pool in pools:
             if request.over and self._random() >= self._excess_p(pool, now):
                 continue
-            if pool.servers and self._room(pool):
+            if pool.servers and self._room(pool, request.t1, now):
                 server = self._pair(request, pool.servers, now, DRAWS)
                 # Nothing is sent to the sick: guards against full or silent servers that never drain, as
                 # gateways that draw from nothing else go on feeding them.  Could do harm after a fault of
@@ -541,7 +543,8 @@
         return min(max((t1 - self._q(server, t1, now)) / (t1 - Q_MIN * t1), 0.0), 1.0)
 
     def _gated(self, request: _Request, server: _Server, now: int) -> bool:
-        return not self._room(self._pool_of(server)) or self._random() >= self._p(server, request.t1, now)
+        return not self._room(self._pool_of(server), request.t1, now) \
+            or self._random() >= self._p(server, request.t1, now)
 
     def _retry(self, request: _Request, now: int) -> None:
         """The gap is over: place the only copy on a server that the gate lets through, or wait a gap."""
@@ -692,7 +695,9 @@
         if ended is None:
             return
         ended.server.inflight -= 1
-        if not ended.silent:
+        if ended.silent:
+            ended.server.silent -= 1
+        else:
             ended.pool.inflight -= 1
         ended.request.live.discard(attempt)
         self._ended(ended, outcome, spent_ns, settled, load, now)
@@ -807,7 +812,7 @@
 
     # ---- 7. Departures ----------------------------------------------------------------------------
 
-    def _adapt(self, pool: _Pool, full: bool, now: int) -> None:
+    def _adapt(self, pool: _Pool, full: bool, t1: int, now: int) -> None:
         """Limit in flight: it settles where the pool's delay is LIMIT_AIM, and grows only while it is used.
 
         Guards against servers that hold too much and jam.  A full refusal counts by itself: it comes back so
@@ -818,7 +823,8 @@
         """
         push = 1.0 - self._q(pool, POOL_T1, now) / (LIMIT_AIM * POOL_T1)
         push = -LIMIT_FALL * self._refusing(pool) if full else max(-LIMIT_FALL, push)
-        if push < 0 or pool.inflight + 1 >= LIMIT_NEAR * pool.limit:
+        used, limit = self._open(pool, t1, now)
+        if push < 0 or used + 1 >= LIMIT_NEAR * limit:
             most = LIMIT_RUSH if self._held_n and push > 0.5 else 1.0
             step = LIMIT_STEP * (most * min(push, 1.0) if push > 0 else push * min(pool.limit, 1.0))
             floor = LIMIT_MIN if full else min(pool.limit, max(LIMIT_MIN, LIMIT_FLOOR * self._fair))
@@ -832,9 +838,26 @@
         """
         return sum(server.full for server in pool.servers) / max(1, len(pool.servers))
 
-    def _room(self, pool: _Pool) -> bool:
+    def _open(self, pool: _Pool, t1: int, now: int) -> tuple[int, float]:
+        """What is out at the servers that originals go to, and the limit for these.
+
+        A shunned server takes its part of the limit with it.  Guards against one that is left with the room
+        of all: it jams, is shunned in turn, and the next one gets everything.
+        """
+        size = lost = 0.0
+        used = pool.inflight
+        for server in pool.servers:
+            warmth = self._warmth(server, now) if server.cold_until > now else 1.0
+            size += warmth
+            if self._shunned(server, t1, now):
+                lost += warmth
+                used -= server.inflight - server.silent
+        return used, pool.limit * (size - lost) / (size or 1.0)
+
+    def _room(self, pool: _Pool, t1: int, now: int) -> bool:
         """Whether the limit leaves room; what lies between whole numbers is met in the mean, by chance."""
-        return pool.inflight + self._random() < pool.limit
+        used, limit = self._open(pool, t1, now)
+        return used + self._random() < limit
 
     def _hold(self, request: _Request, now: int) -> None:
         """No room: wait for an answer to make some, the dearest work first, while it can be in time."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -417,3 +417,19 @@
     gateway.run(gateway.now + 20 * MS)
     gateway.outcome(rid, Outcome.ERROR, spent_ns=20 * MS)
     assert server.fails == 2
+
+
+def test_the_last_server_that_is_not_shunned_does_not_get_the_room_of_all() -> None:
+    """With two of three shunned the third got the limit of all three, jammed, and was shunned in its turn."""
+    gateway = Gateway(some_settings(), [entry(f"h{n}") for n in range(3)])
+    settle(gateway, 30, 10 * MS)
+    module = gateway.module
+    module._near.limit = 12.0
+    for name in ("h0", "h1"):
+        for _ in range(3):
+            gateway.run(gateway.now + 100 * MS)
+            module._observe(module._servers[name], SECOND, 300 * MS, gateway.now, failed_from=gateway.now)
+    before = gateway.hosts_sent()["h2"]
+    for _ in range(12):
+        gateway.request()
+    assert gateway.hosts_sent()["h2"] - before in (4, 5)   # its third, and what chance makes of the rest
