--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -431,7 +431,9 @@
             weight = unit / cls.mean_units
             cls.mean += weight * error
             cls.spread += weight * (abs(error) - cls.spread)
-            weight = unit / cls.usual_units
+            # What was out beside it made it wait: guards against a fleet that is full from the start, whose
+            # queues would become usual and leave no delay to see.
+            weight = unit / cls.usual_units / (1 + server.inflight)
             if sample > cls.usual and self._q(self._pool_of(server), POOL_T1, now) > Q_MIN * POOL_T1:
                 weight *= USUAL_JAM  # a jam must not become usual
             cls.usual += weight * (sample - cls.usual)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -433,3 +433,16 @@
     for _ in range(12):
         gateway.request()
     assert gateway.hosts_sent()["h2"] - before in (4, 5)   # its third, and what chance makes of the rest
+
+
+def test_answers_that_waited_behind_others_make_little_usual() -> None:
+    """Where a fleet was full from the start its queues became usual, and limits grew until hosts jammed."""
+    gateway = Gateway(some_settings(a_class(late_worth=0.0)), [entry("h")])
+    for _ in range(40):
+        gateway.module._near.limit = 9.0
+        settle(gateway, 1, 10 * MS, 0)
+        sent = [gateway.request() for _ in range(5)]
+        gateway.run(gateway.now + 50 * MS)
+        for rid in sent:
+            gateway.outcome(rid, Outcome.OK, spent_ns=50 * MS)
+    assert gateway.module._classes[0].usual < 40 * MS
