A limit rushes only beside a host with nothing out

While requests wait, a limit grows four times as fast; its docstring says 'and servers are idle', but nothing asked whether they were. The rush now needs an idle host, other than the one that has just answered and gets a held request.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -410,7 +410,7 @@
         self._observe(server, delay, t1, now, failed_from)
         pool = self._pool_of(server)
         self._observe(pool, max(-POOL_MAX, min(delay / t1, POOL_MAX)) * POOL_T1, POOL_T1, now, failed_from)
-        self._adapt(pool, full, t1, now)
+        self._adapt(pool, server, full, t1, now)
 
     def _pool_of(self, server: _Server) -> _Pool:
         return self._near if server.zone == self._set.zone else self._far
@@ -814,20 +814,23 @@
 
     # ---- 7. Departures ----------------------------------------------------------------------------
 
-    def _adapt(self, pool: _Pool, full: bool, t1: int, now: int) -> None:
+    def _adapt(self, pool: _Pool, server: _Server, full: bool, t1: int, now: int) -> None:
         """Limit in flight: it settles where the pool's delay is LIMIT_AIM, and grows only while it is used.
 
         Guards against servers that hold too much and jam.  A full refusal counts by itself: it comes back so
         soon that a smoothed delay hardly sees it.  Delay alone stops at a floor: behind a slow shared
-        dependency every answer is late at any limit.  While requests wait and servers are idle it grows
-        LIMIT_RUSH times as fast: guards against seconds of refusals beside idle servers, after a start, a jam
-        or when others leave their clients to this gateway.  Could do harm where delay shows late.
+        dependency every answer is late at any limit.  While requests wait and servers other than the one that
+        answered are idle it grows LIMIT_RUSH times as fast: guards against seconds of refusals beside idle
+        servers, after a start, a jam or when others leave their clients to this gateway.  Could do harm where
+        delay shows late.
         """
         push = 1.0 - self._q(pool, POOL_T1, now) / (LIMIT_AIM * POOL_T1)
         push = -LIMIT_FALL * self._refusing(pool) if full else max(-LIMIT_FALL, push)
         used, limit = self._open(pool, t1, now)
         if push < 0 or used + 1 >= LIMIT_NEAR * limit:
-            most = LIMIT_RUSH if self._held_n and push > 0.5 else 1.0
+            idle = any(not other.inflight and other is not server and other.bad <= BAD
+                       for other in pool.servers)
+            most = LIMIT_RUSH if self._held_n and push > 0.5 and idle else 1.0
             step = LIMIT_STEP * (most * min(push, 1.0) if push > 0 else push * min(pool.limit, 1.0))
             floor = LIMIT_MIN if full else min(pool.limit, max(LIMIT_MIN, LIMIT_FLOOR * self._fair))
             pool.limit = max(floor, pool.limit + step)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -446,3 +446,19 @@
         for rid in sent:
             gateway.outcome(rid, Outcome.OK, spent_ns=50 * MS)
     assert gateway.module._classes[0].usual < 40 * MS
+
+
+def test_a_limit_does_not_rush_while_every_server_is_busy() -> None:
+    """At a start under full load, before usual latency is known, limits went from 3 to 14 in half a second."""
+    gateway = Gateway(some_settings(), [entry(f"h{n}") for n in range(3)])
+    near = gateway.module._near
+    for _ in range(9):
+        gateway.request()
+    served = 0
+    while gateway.module._held_n:   # as one ends, a held one takes its place: no server has nothing to do
+        rid = next(rid for rid, held in gateway.held.items() if held.out)
+        gateway.run(gateway.now + 5 * MS)
+        gateway.outcome(rid, Outcome.OK, spent_ns=5 * MS)
+        served += 1
+    assert served
+    assert near.limit <= 3.0 + 0.06 * served
