--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -819,10 +819,10 @@
 
         Guards against servers that hold too much and jam.  A full refusal counts by itself: it comes back so
         soon that a smoothed delay hardly sees it.  Delay alone stops at a floor: behind a slow shared
-        dependency every answer is late at any limit.  While requests wait and servers other than the one that
-        answered are idle it grows LIMIT_RUSH times as fast: guards against seconds of refusals beside idle
-        servers, after a start, a jam or when others leave their clients to this gateway.  Could do harm where
-        delay shows late.
+        dependency every answer is late at any limit.  While requests wait and servers are idle, other than
+        the one that answered, it grows LIMIT_RUSH times as fast: guards against seconds of refusals beside
+        idle servers, after a start, a jam or when others leave their clients to this gateway.  Could do
+        harm where delay shows late.
         """
         push = 1.0 - self._q(pool, POOL_T1, now) / (LIMIT_AIM * POOL_T1)
         push = -LIMIT_FALL * self._refusing(pool) if full else max(-LIMIT_FALL, push)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -449,7 +449,7 @@
 
 
 def test_a_limit_does_not_rush_while_every_server_is_busy() -> None:
-    """At a start under full load, before usual latency is known, limits went from 3 to 14 in half a second."""
+    """At a start under full load, with no usual latency yet, limits went from 3 to 14 in half a second."""
     gateway = Gateway(some_settings(), [entry(f"h{n}") for n in range(3)])
     near = gateway.module._near
     for _ in range(9):
