--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -828,8 +828,9 @@
         push = -LIMIT_FALL * self._refusing(pool) if full else max(-LIMIT_FALL, push)
         used, limit = self._open(pool, t1, now)
         if push < 0 or used + 1 >= LIMIT_NEAR * limit:
-            idle = any(not other.inflight and other is not server and other.bad <= BAD
-                       for other in pool.servers)
+            # With one server there is no other to be idle, and low delay has to do.
+            idle = len(pool.servers) == 1 or any(not other.inflight and other is not server
+                                                 and other.bad <= BAD for other in pool.servers)
             most = LIMIT_RUSH if self._held_n and push > 0.5 and idle else 1.0
             step = LIMIT_STEP * (most * min(push, 1.0) if push > 0 else push * min(pool.limit, 1.0))
             floor = LIMIT_MIN if full else min(pool.limit, max(LIMIT_MIN, LIMIT_FLOOR * self._fair))
