A host that failed last gets one request at a time until it serves one

When its evidence had decayed, a shunned host got its whole part of the limit at once, as the one with least out.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -982,9 +982,12 @@
     def _shunned(self, server: _Server, t1: int, now: int) -> bool:
         """Health: originals avoid a server that fails and would turn a retry away more often than not.
 
-        Delay alone does not shun: long work marks healthy servers, and herding off them jams the rest.
+        Delay alone does not shun: long work marks healthy servers, and herding off them jams the rest.  One
+        that failed last gets a request at a time until it serves one: guards against as many lost again.
         """
-        return server.bad > BAD and self._q(server, t1, now) > SHUN * t1
+        if server.bad <= BAD:
+            return False
+        return self._q(server, t1, now) > SHUN * t1 or (server.fails > 0 and server.inflight > server.silent)
 
     def _warmth(self, server: _Server, now: int) -> float:
         """The share of its capacity that a starting server is sure to have."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -462,3 +462,26 @@
         served += 1
     assert served
     assert near.limit <= 3.0 + 0.06 * served
+
+
+def test_a_server_back_from_being_shunned_gets_one_request_until_one_is_served() -> None:
+    """As many as its part of the limit were sent to it again at once, and all were lost if it still hung."""
+    gateway = Gateway(some_settings(), [entry(f"h{n}") for n in range(2)])
+    settle(gateway, 30, 10 * MS)
+    module = gateway.module
+    module._near.limit = 20.0
+    sick = module._servers["h0"]
+    for _ in range(3):
+        gateway.run(gateway.now + 100 * MS)
+        module._observe(sick, SECOND, 300 * MS, gateway.now, failed_from=gateway.now)
+    while module._shunned(sick, 300 * MS, gateway.now):
+        gateway.run(gateway.now + 100 * MS)
+    before = gateway.hosts_sent()["h0"]
+    sent = [gateway.request() for _ in range(9)]
+    assert gateway.hosts_sent()["h0"] - before == 1
+    first = next(rid for rid in sent if "h0" in gateway.held[rid].out.values())
+    gateway.run(gateway.now + 10 * MS)
+    gateway.outcome(first, Outcome.OK, spent_ns=10 * MS)
+    for _ in range(5):
+        gateway.request()
+    assert gateway.hosts_sent()["h0"] - before > 2
