A cold host's budget counts an answer's usual time, without queues

Ruled out: the list (all 60 hosts told ready by 13 s and 16 s), hosts' limits on connections (no refusal at these hosts), discovery (all watches stand). At fault: _ended() learnt _took from the whole time of an answer, and _cold_room() takes its inverse for the least rate of a host: the longer the queues at warm hosts, the smaller the budget of cold ones.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -262,7 +262,7 @@
         self._served = 0.0       # answers a second, all servers, smoothed
         self._served_at = 0
         self._fair = 1.0         # servers for each gateway
-        self._took = 0.0         # time of an answer, all classes, smoothed
+        self._took = 0.0         # usual time of an answer, all classes, smoothed
         self._missed = 0.0       # share of requests within allowances that miss their aim, smoothed
         fields = settings.report_fields
         self._at = {name: fields.index(name) for name in fields}
@@ -716,8 +716,9 @@
         server.broken = server.broken + 1 if outcome in BROKEN else 0
         if outcome is Outcome.OK:
             self._count_served(now)
-            self._took += LATENCY_W * (spent_ns - self._took) if self._took else spent_ns
             self._served_one(request, server, spent_ns, load, now)
+            usual = request.cls.usual * (request.hint or 1)
+            self._took += LATENCY_W * (usual - self._took) if self._took else usual
         elif self._speaks(outcome, server) and not attempt.overdue:
             self._failed_one(request, server, outcome, spent_ns, now)
         if settled:
@@ -1011,7 +1012,8 @@
         rules, replicas = self._set.rules, self._set.replicas
         near = max(1, len(self._ready[self._set.zone]))
         sharers = 1.0 + replicas / self._set.zones * len(self._near.servers) / near
-        # A server does at least one request at a time, and about what the fleet does for each server.
+        # A server does at least one request at a time, and about what the fleet does for each server.  Queues
+        # are left out of that time: guards against cold ones that get the less, the fuller warm ones are.
         one = SECOND / self._took if self._took else 0.0
         rate = max(self._served * replicas / (near + len(self._remote)), one)
         pace = COLD_MARGIN * rules.fall_multiple * self._warmth(server, now) * rate / sharers
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -485,3 +485,21 @@
     for _ in range(5):
         gateway.request()
     assert gateway.hosts_sent()["h0"] - before > 2
+
+
+def test_a_jam_of_warm_servers_leaves_a_cold_one_its_budget() -> None:
+    """The budget counted an answer's whole time: the longer the queues elsewhere, the less cold ones got."""
+    sent = []
+    for queue in (0, 280 * MS):
+        gateway = Gateway(some_settings(), [entry("warm")])
+        settle(gateway, 100, 20 * MS)
+        settle(gateway, 40, 20 * MS + queue)
+        gateway.list(ListKind.FULL, [entry("cold", started_ns=gateway.now)])
+        for _ in range(200):
+            rid = gateway.request()
+            gateway.run(gateway.now + 10 * MS)
+            for late in range(max(1, rid - 50), rid + 1):
+                if gateway.held[late].out:
+                    gateway.outcome(late, Outcome.OK, spent_ns=10 * MS)
+        sent.append(gateway.hosts_sent()["cold"])
+    assert sent[1] > 0.5 * sent[0] > 10
