A cold host's slowness is no queue, as far as its least warmth explains it

Ruled out: hosts turning work away (no full refusals, no errors there). At fault: _served_one() took all time above the usual for a queue. A host at a quarter of its speed shows three times its service time as delay, its zone's limit falls and its work spills; it also made usual slow.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -434,14 +434,18 @@
             # What was out beside it made it wait: guards against a fleet that is full from the start, whose
             # queues would become usual and leave no delay to see.
             weight = unit / cls.usual_units / (1 + server.inflight)
-            if sample > cls.usual and self._q(self._pool_of(server), POOL_T1, now) > Q_MIN * POOL_T1:
-                weight *= USUAL_JAM  # a jam must not become usual
+            if sample > cls.usual and (server.cold_until > now
+                                       or self._q(self._pool_of(server), POOL_T1, now) > Q_MIN * POOL_T1):
+                weight *= USUAL_JAM  # a jam must not become usual, nor the cold
             cls.usual += weight * (sample - cls.usual)
         server.ratio += RATIO_W * (min(sample / cls.mean, RATIO_MAX) - server.ratio)
         delay = self._reported_delay(server, spent, load)
         if delay < 0:
             # Not cut at zero: work varies as much as delay does, and only a mean around zero says so.
             delay = (sample - cls.usual) * unit
+            if delay > 0 and server.cold_until > now:
+                # Between the usual time and what the least warmth explains, nothing tells a queue from the cold.
+                delay = max(0.0, (sample - cls.usual / self._warmth(server, now)) * unit)
         self._note(server, delay, request.t1, now)
 
     def _reported_delay(self, server: _Server, spent: int, load: Sequence[float]) -> float:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -7,7 +7,7 @@
 from bridgesaddle.api import MS, SECOND, Effect, Group, HostState, ListKind, Outcome, Rules, Tenant
 from bridgesaddle.decide import BROKEN_ROW
 
-from .gateway import Gateway, a_class, entry, settle, some_settings
+from .gateway import Gateway, a_class, entry, flow, settle, some_settings
 
 
 def test_a_request_is_sent_once_and_its_state_released() -> None:
@@ -495,11 +495,18 @@
         settle(gateway, 100, 20 * MS)
         settle(gateway, 40, 20 * MS + queue)
         gateway.list(ListKind.FULL, [entry("cold", started_ns=gateway.now)])
-        for _ in range(200):
-            rid = gateway.request()
-            gateway.run(gateway.now + 10 * MS)
-            for late in range(max(1, rid - 50), rid + 1):
-                if gateway.held[late].out:
-                    gateway.outcome(late, Outcome.OK, spent_ns=10 * MS)
+        flow(gateway, 200, 10 * MS)
         sent.append(gateway.hosts_sent()["cold"])
     assert sent[1] > 0.5 * sent[0] > 10
+
+
+def test_a_cold_server_is_slow_without_a_queue() -> None:
+    """Its answers, twice the usual, were read as a queue: its zone's limit fell, and its work spilled."""
+    gateway = Gateway(some_settings(), [entry("warm")])
+    settle(gateway, 60, 50 * MS)
+    gateway.list(ListKind.FULL, [entry("cold", started_ns=gateway.now)])   # at a third of its speed, and more
+    flow(gateway, 20, 100 * MS)
+    assert gateway.hosts_sent()["cold"] > 5
+    assert gateway.module._near.q_avg < 10 * MS
+    flow(gateway, 10, 350 * MS)   # seven times the usual is more than the cold explains
+    assert gateway.module._near.q_avg > 50 * MS
