--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -444,7 +444,7 @@
             # Not cut at zero: work varies as much as delay does, and only a mean around zero says so.
             delay = (sample - cls.usual) * unit
             if delay > 0 and server.cold_until > now:
-                # Between the usual time and what the least warmth explains, nothing tells a queue from the cold.
+                # Between the usual time and what the least warmth explains nothing tells a queue from cold.
                 delay = max(0.0, (sample - cls.usual / self._warmth(server, now)) * unit)
         self._note(server, delay, request.t1, now)
 
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -245,7 +245,7 @@
 
 
 def flow(gateway: Gateway, requests: int, spent_ns: int) -> None:
-    """Requests one after another; after each, all that is out by then is answered, held ones' attempts too."""
+    """Requests one after another; after each, all that is out by then is answered."""
     for _ in range(requests):
         gateway.request()
         gateway.run(gateway.now + spent_ns)
