The delay of a host with load reports: the requests it holds, at the usual time each

Every answer carries what its host holds for all; the module ignored it, as there is neither a queue nor a service time beside it, and judged by its own latency alone: a gateway sees an answer a second from a host. At fault: _reported_delay() returned 'not told' for reports of util and inflight.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -464,7 +464,9 @@
             return load[at["queue"]] * server.latency / max(1.0, server.outstanding)
         if "service_ms" in at:
             return inflight * load[at["service_ms"]] * 1e6
-        return -1.0
+        # What it holds for all gateways together, each at the usual time: guards against many that see a few
+        # answers each, far apart, and fill a server together before any of them has seen it slow down.
+        return max(0.0, inflight - 1.0) * self._took if self._took else -1.0
 
     # ---- 3. Placement -----------------------------------------------------------------------------
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -510,3 +510,17 @@
     assert gateway.module._near.q_avg < 10 * MS
     flow(gateway, 10, 350 * MS)   # seven times the usual is more than the cold explains
     assert gateway.module._near.q_avg > 50 * MS
+
+
+def test_a_server_that_others_have_filled_is_seen_by_its_report() -> None:
+    """Forty gateways filled a zone together, and each grew its limit on the few answers that it saw."""
+    gateway = Gateway(some_settings(zones=2, replicas=40, report_fields=("util", "inflight")),
+                      [entry(f"h{number}", zone=number % 2) for number in range(60)])
+    zone = {host: item.zone for host, item in gateway.hosts.items()}
+    for _ in range(150):
+        rid = gateway.request()
+        gateway.run(gateway.now + 50 * MS)
+        for number, host in list(gateway.held[rid].out.items()):
+            gateway.outcome(rid, Outcome.OK, number, spent_ns=50 * MS, load=(1.0, 1.0 if zone[host] else 9.0))
+    spilt = [zone[host] for _, host, _ in gateway.sends[-50:]]
+    assert sum(spilt) > 25
