Cold hosts of another zone take what spills, from one budget for all who draw

At fault: _cold_turn() gave cold hosts to gateways of their own zone only. Now _cold_room() counts the gateways of all zones as sharers, by the arc and the zone's hosts, in place of one more than the near ones.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -1012,7 +1012,7 @@
 
         Thinning needs no rate and no count of gateways: each sends its own share of what it would have.
         """
-        return server.zone == self._set.zone and self._random() < self._warmth(server, now)
+        return self._random() < self._warmth(server, now)
 
     def _cold_room(self, server: _Server, now: int) -> bool:
         """Rule 4: credit for a cold server grows at this gateway's part of the fall budget.
@@ -1021,12 +1021,13 @@
         draw from the server do not send at once, and a part below one request a window is kept in the mean.
         """
         rules, replicas = self._set.rules, self._set.replicas
-        near = max(1, len(self._ready[self._set.zone]))
-        sharers = 1.0 + replicas / self._set.zones * len(self._near.servers) / near
+        # All who draw from it, those of other zones too: they spill to a zone that comes back cold.
+        ready = max(1, len(self._ready[server.zone]))
+        sharers = max(1.0, replicas * len(self._pool_of(server).servers) / ready)
         # A server does at least one request at a time, and about what the fleet does for each server.  Queues
         # are left out of that time: guards against cold ones that get the less, the fuller warm ones are.
         one = SECOND / self._took if self._took else 0.0
-        rate = max(self._served * replicas / (near + len(self._remote)), one)
+        rate = max(self._served / self._fair, one)
         # What it says it holds tells how it bears what all send it: this gateway alone sees little of that.
         spare = max(COLD_LEAST, 1.0 + (COLD_MORE - 1.0) * (1.0 - server.reported / COLD_HELD))
         pace = COLD_MARGIN * spare * rules.fall_multiple * self._warmth(server, now) * rate / sharers
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -44,10 +44,12 @@
         gateway.module.on_request(0, 1, 7, 0, 0, SECOND, 0, False)
 
 
-def test_many_gateways_together_keep_a_cold_server_standing() -> None:
+@pytest.mark.parametrize("zones", [1, 2])
+def test_many_gateways_together_keep_a_cold_server_standing(zones: int) -> None:
     """Each of eighty sent one request a window to the one server left, just started: it fell."""
     rules = Rules(cold_share=0.3, warm_within_ns=10 * SECOND, fall_multiple=3.0, fall_ns=2 * SECOND)
-    settings = [some_settings(replicas=80, me=number, rules=rules) for number in range(80)]
+    settings = [some_settings(replicas=80, me=number, rules=rules, zones=zones, zone=number % zones)
+                for number in range(80)]
     sent = 0
     for number, told in enumerate(settings):
         gateway = Gateway(told, [entry("warm")], salt=number)
@@ -536,3 +538,13 @@
         flow(gateway, 200, 10 * MS, load=(held,))
         sent.append(gateway.hosts_sent()["cold"])
     assert sent[0] > 1.3 * sent[1] > 1.3 * 2 * sent[2] > 0
+
+
+def test_what_spills_goes_to_cold_servers_too() -> None:
+    """A zone came back cold: the other one, short of servers, sent it nothing until they all were warm."""
+    gateway = Gateway(some_settings(zones=2), [entry("near"), entry("far", zone=1)])
+    flow(gateway, 100, 20 * MS)
+    gateway.list(ListKind.FULL, [entry("far", zone=1, started_ns=gateway.now)])
+    before = len(gateway.sends)
+    flow(gateway, 200, 10 * MS)
+    assert len(gateway.sends) > before + 20
