Calls of discovery spread over half of ask-within, and failed ones as wide

All their first calls come within 2.5 s; 14 lists arrive by 17.7 s, then none for five seconds while 20 to 28 calls end in 503 after 2 to 3 s, come again within 1.5 s of each other and fail again. Fifteen gateways ran on a list of before for 5 to 10 s: 40 requests served each in 18 to 23 s, where those with a list served 105, as hosts that are gone stood in their arcs of two and three. Ruled out: the standing watches (their changes arrive all the time), the gateways' start (listening within 0.1 s of each other, clients served at once), the network code (a 503 is told to the module as it comes). At fault: _ask_later() drew the first pause from 0.5 to 1.5 s whatever the number of gateways, and on_list() spread the first calls over a quarter of ask-within; discovery lists about five gateways a second there.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -97,7 +97,7 @@
 RATE_S = 2.0         # time constant of the served rate, seconds
 
 # Discovery.
-ASK_SPREAD = 0.25    # first call: within this share of ask-within, at random, so that gateways do not queue
+ASK_SPREAD = 0.5     # first call: within this share of ask-within, at random, so that gateways do not queue
 ASK_CROWD = 32       # with so many gateways; fewer queue less, and a list from before a start can be old
 ASK_MAX = 0.5        # longest back-off, as a share of ask-within
 ASK_FIRST = 0.1      # first back-off, as a share of ask-within
@@ -299,8 +299,7 @@
         self._release(now)
         if kind is ListKind.CACHED:
             if self._set.ask_discovery:
-                spread = ASK_SPREAD * min(1.0, self._set.replicas / ASK_CROWD) * self._set.rules.ask_within_ns
-                self._wake(None, int(self._random() * spread))
+                self._wake(None, int(self._random() * self._ask_spread()))
         else:
             self._watching = True
             self._ask_gap = 0.0
@@ -368,13 +367,21 @@
             attempt.server.silent += 1
 
     def _ask_later(self, now: int) -> None:
-        """Guards against many gateways asking in step: the pause doubles and is drawn anew each time."""
+        """Guards against many gateways asking in step: the pause doubles and is drawn anew each time.
+
+        The more gateways there are the wider it is drawn.  Guards against calls that fail together and come
+        again together: discovery works at each for some time before it fails, and so lists none of them.
+        """
         if not self._set.ask_discovery:
             return
         within = self._set.rules.ask_within_ns
-        self._ask_gap = min(max(2 * self._ask_gap, ASK_FIRST * within), ASK_MAX * within)
+        self._ask_gap = min(max(2 * self._ask_gap, ASK_FIRST * within, self._ask_spread()), ASK_MAX * within)
         self._wake(None, int(self._ask_gap * (0.5 + self._random())))
 
+    def _ask_spread(self) -> float:
+        """The time over which the calls of all gateways are spread."""
+        return ASK_SPREAD * min(1.0, self._set.replicas / ASK_CROWD) * self._set.rules.ask_within_ns
+
     def _ask(self) -> None:
         if not self._watching:
             self._act.watch(True)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -548,3 +548,21 @@
     before = len(gateway.sends)
     flow(gateway, 200, 10 * MS)
     assert len(gateway.sends) > before + 20
+
+
+def test_the_calls_of_many_gateways_stay_apart_after_a_common_start() -> None:
+    """Forty began within a quarter of their time; the calls that failed came again together, and failed."""
+    first: list[int] = []
+    again: list[int] = []
+    for number in range(40):
+        gateway = Gateway(some_settings(replicas=40, me=number, ask_discovery=True), salt=number)
+        gateway.list(ListKind.CACHED, [entry("h")])
+        first += gateway.timers.values()
+        gateway.timers.clear()
+        gateway.list(ListKind.FAILED, [])
+        again += gateway.timers.values()
+    for times in (first, again):
+        assert len(times) == 40
+        assert max(times) <= 10 * SECOND
+        for begin in range(10):   # three in ten of them at most within a second
+            assert sum(begin * SECOND <= at < (begin + 1) * SECOND for at in times) <= 12
