A host's delay is the mean of what it reports to hold and what its answer shows

At fault: _served_one() left the answer's own latency aside where a report tells requests held. These count at the usual time of a healthy host; one that is cold, crowded or shared takes that time over and over.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -451,13 +451,17 @@
                 weight *= USUAL_JAM  # a jam must not become usual, nor the cold
             cls.usual += weight * (sample - cls.usual)
         server.ratio += RATIO_W * (min(sample / cls.mean, RATIO_MAX) - server.ratio)
+        # Not cut at zero: work varies as much as delay does, and only a mean around zero says so.
+        own = (sample - cls.usual) * unit
+        if own > 0 and server.cold_until > now:
+            # Between the usual time and what the least warmth explains nothing tells a queue from cold.
+            own = max(0.0, (sample - cls.usual / self._warmth(server, now)) * unit)
         delay = self._reported_delay(server, spent, load)
         if delay < 0:
-            # Not cut at zero: work varies as much as delay does, and only a mean around zero says so.
-            delay = (sample - cls.usual) * unit
-            if delay > 0 and server.cold_until > now:
-                # Between the usual time and what the least warmth explains nothing tells a queue from cold.
-                delay = max(0.0, (sample - cls.usual / self._warmth(server, now)) * unit)
+            delay = own
+        elif "queue" not in self._at and "service_ms" not in self._at:
+            # The report knows what all have sent but not how slow the server is, the answer only the reverse.
+            delay = (delay + own) / 2
         self._note(server, delay, request.t1, now)
 
     def _reported_delay(self, server: _Server, spent: int, load: Sequence[float]) -> float:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -566,3 +566,12 @@
         assert max(times) <= 10 * SECOND
         for begin in range(10):   # three in ten of them at most within a second
             assert sum(begin * SECOND <= at < (begin + 1) * SECOND for at in times) <= 12
+
+
+def test_a_server_that_is_slow_with_little_to_do_is_seen_by_its_answers() -> None:
+    """Reports count requests at the usual speed: hosts just started, ten times slower, were kept full."""
+    gateway = Gateway(some_settings(report_fields=("util", "inflight")), [entry("a"), entry("b")])
+    flow(gateway, 100, 20 * MS, load=(0.5, 1.0))
+    assert gateway.module._near.q_avg < 10 * MS
+    flow(gateway, 20, 200 * MS, load=(1.0, 1.0))
+    assert gateway.module._near.q_avg > 50 * MS
