An attempt called off early is no time-out of T1 at its host

Of 550 attempts in 2 s 100 are called off at their aim, having been held before. At fault: _ended() took an attempt called off after the mean and one mean deviation for a time-out, which one answer in eight exceeds at a healthy host, and _failed_one() counted it as a whole T1.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -730,7 +730,7 @@
     def _ended(self, attempt: _Attempt, outcome: Outcome, spent_ns: int, settled: bool,
                load: Sequence[float], now: int) -> None:
         request, server = attempt.request, attempt.server
-        patience = min(request.t1, request.expected(1.0)) if request.cls.mean else request.t1
+        patience = min(request.t1, request.expected(T1_DEVIATIONS)) if request.cls.mean else request.t1
         if outcome is Outcome.CANCELLED and spent_ns >= patience:
             # The client left or time ran out; the server was silent all the same.  Guards against sick ones
             # that are seen only by requests that were held, or came with less time than T1.
@@ -780,7 +780,7 @@
                     now: int) -> None:
         t1 = request.t1
         if outcome is Outcome.TIMEOUT:
-            delay = float(max(spent, t1))
+            delay = float(spent)   # no more is known of one that had less time than T1
         elif outcome is Outcome.ERROR or outcome in BROKEN:
             delay = ERROR_SIGNAL * t1
         else:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -575,3 +575,17 @@
     assert gateway.module._near.q_avg < 10 * MS
     flow(gateway, 20, 200 * MS, load=(1.0, 1.0))
     assert gateway.module._near.q_avg > 50 * MS
+
+
+def test_an_attempt_called_off_early_is_no_word_against_its_server() -> None:
+    """At twice the usual time one in eight is still out; called off, it was a time-out of T1 at its host."""
+    gateway = Gateway(some_settings(), [entry("h")])
+    for _ in range(50):
+        settle(gateway, 1, 25 * MS)
+        settle(gateway, 1, 75 * MS)
+    for spent, bad in ((100 * MS, False), (250 * MS, True)):   # three deviations are 125 ms
+        rid = gateway.request()
+        gateway.run(gateway.now + spent)
+        gateway.gone(rid)
+        gateway.outcome(rid, Outcome.CANCELLED, spent_ns=spent)
+        assert (gateway.module._servers["h"].bad > 0) == bad
