--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -97,7 +97,7 @@
 RATE_S = 2.0         # time constant of the served rate, seconds
 
 # Discovery.
-ASK_SPREAD = 0.5     # first call: within this share of ask-within, at random, so that gateways do not queue
+ASK_SPREAD = 0.5     # calls are spread over this share of ask-within, so that gateways do not queue
 ASK_CROWD = 32       # with so many gateways; fewer queue less, and a list from before a start can be old
 ASK_MAX = 0.5        # longest back-off, as a share of ask-within
 ASK_FIRST = 0.1      # first back-off, as a share of ask-within
