A watch call that falls silent before its first line is given up after 4 s, not 8

Watches fell silent at 1.0 s; four of six gateways had called but had no first line, and CALL left them until 8.6 to 8.9 s. Told counts from 7.0 s, the grace ends at 9.5 s, lists came at 9.8 to 10.9 s.

Ruled out: retries that waited, pooled and opening connections (no write after a gateway's own list), and the queue at discovery (each new call answered within 0.6 s). At fault: CALL in gateway/discovery.py.

--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -22,8 +22,9 @@
 """An empty line comes so often while nothing changes."""
 SILENT = 5 * SECOND
 """A watch that has been silent so long is dead: two beats missed and half of one more."""
-CALL = 8 * SECOND
-"""Longest wait for the first line: calls wait their turn at a discovery that serves all gateways."""
+CALL = 4 * SECOND
+"""Longest wait for the first line: calls wait their turn at a discovery that serves all gateways.  One that
+has fallen silent looks the same, and what it misses counts as told 6 s later: time for another is left."""
 CONNECT = 1 * SECOND
 """Longest wait for the connection itself."""
 HANDOVER = 4 * SECOND
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -127,6 +127,20 @@
     play(scene)
 
 
+def test_a_watch_that_falls_silent_before_its_first_line_leaves_time_for_another() -> None:
+    async def scene() -> None:
+        heard = Heard()
+        fake, discovery = await heard.start()
+        discovery.watch(True)
+        await fake.calls.get()
+        discovery.sweep(now_ns() + 3 * SECOND)   # calls wait their turn
+        assert heard.told.empty()
+        # What it misses counts as told 6 s after it fell silent: by then the next call has to be answered.
+        discovery.sweep(now_ns() + 9 * SECOND // 2)
+        assert await asyncio.wait_for(heard.told.get(), 2) == (ListKind.FAILED, [])
+    play(scene)
+
+
 def test_where_lists_are_pushed_the_watch_begins_by_itself_and_again() -> None:
     async def scene() -> None:
         heard = Heard(pushed=True)
