A request whose client has left while its connection comes up is not sent on

Seen: on real sockets, a client that closes or half-closes while its request waits for a host's connection had it sent once that came up; both look the same at the gateway.

Ruled out: the module (it was not told, and asks for nothing) and upstream.connection_made (it sends what is still an attempt). At fault: on_half_closed in gateway/core.py took an attempt that is only connecting for one that is out.

--- a/gateway/core.py
+++ b/gateway/core.py
@@ -182,10 +182,11 @@
         """The client has ended its sending.
 
         It may have gone or may wait for its answer, which looks the same from here.  So it gets the answer of
-        what is out, and nothing new is sent for it.
+        what has been written to a host, and nothing else is sent for it: not what waits for its connection
+        either.
         """
         request.closing = True
-        if not request.out:
+        if not any(attempt.conn is not None and attempt.conn.written() for attempt in request.out.values()):
             self._give_up(request)
 
     def held(self) -> list[Request]:
