--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -14,7 +14,8 @@
 from tests.sockets import LAST, OK, SETTINGS, Client, FakeHost, Stage, play, request, until
 
 FULL = b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
-QUICK = [{**item, "slo-ns": 600 * MS} for item in SETTINGS["request-classes"]]
+QUICK: dict[str, Any] = {"request-classes": [{**item, "slo-ns": 600 * MS}
+                                             for item in SETTINGS["request-classes"]]}
 """Classes with an aim so short that a retry's gap is some 450 ms."""
 
 
@@ -87,7 +88,7 @@
     async def scene() -> None:
         async with Stage() as stage:
             hosts = FakeHost("h0", reply=None), FakeHost("h1", reply=None)
-            await stage.begin(*hosts, **{"request-classes": QUICK})
+            await stage.begin(*hosts, **QUICK)
             core, timers = stage.gateway.core, stage.gateway.timers
             client = await stage.client()
             client.send(request(rid="left"))
