--- a/gateway/core.py
+++ b/gateway/core.py
@@ -24,6 +24,8 @@
 
 MARGIN = 25 * MS
 """The module is told so much less time than the client has: the answer has a way to go."""
+LEFT = 200 * MS
+"""A connection that comes up so long after the client has ended its sending goes unused: 0.3 s is allowed."""
 LAST_CALL = 12 * MS
 """So long before the client's time is up, the gateway answers by itself if the module has not."""
 
@@ -182,13 +184,22 @@
         """The client has ended its sending.
 
         It may have gone or may wait for its answer, which looks the same from here.  So it gets the answer of
-        what has been written to a host, and nothing else is sent for it: not what waits for its connection
-        either.
+        what is out, and nothing new is sent for it: what waits for its connection only if that is up at once.
         """
         request.closing = True
-        if not any(attempt.conn is not None and attempt.conn.written() for attempt in request.out.values()):
+        if not request.out:
+            self._give_up(request)
+        elif not self._written(request):
+            self._timers.after(LEFT, self._left, request)
+
+    def _left(self, request: Request) -> None:
+        if request.exchange is not None and not self._written(request):
             self._give_up(request)
 
+    @staticmethod
+    def _written(request: Request) -> bool:
+        return any(attempt.conn is not None and attempt.conn.written() for attempt in request.out.values())
+
     def held(self) -> list[Request]:
         """Requests in the table: those owed an answer, and those with attempts still out."""
         return list(self._requests.values())
