An answer of discovery whose head comes in pieces is no failed call

Seen: reading the code for answers in odd pieces. The status was asked for after each piece; before the first line is whole it is 0, and the call ended as failed. Forced by a test that hands on an answer byte by byte, which failed without the change. At fault: data_received in gateway/discovery.py.

--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -98,6 +98,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._line = bytearray()
         self._ready: list[bytes] = []
+        self._status = 0
         self._done = False
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
@@ -122,8 +123,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._owner.ended(self, f"malformed answer: {error}")
             return
-        if self._parser.get_status_code() != 200:
-            self._owner.ended(self, f"answer {self._parser.get_status_code()}")
+        if self._status and self._status != 200:   # 0: the head may come in pieces
+            self._owner.ended(self, f"answer {self._status}")
             return
         self.heard = now_ns()
         lines, self._ready = self._ready, []
@@ -137,6 +138,9 @@
                 self._owner.line(self, bytes(self._line))
             self._owner.ended(self, "the answer has ended", failed=self.watch)
 
+    def on_headers_complete(self) -> None:
+        self._status = self._parser.get_status_code()
+
     def on_body(self, body: bytes) -> None:
         self._line += body
         if self.watch and b"\n" in body:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import Any
 
 import pytest
@@ -128,6 +129,24 @@
     play(scene)
 
 
+def test_an_answer_that_comes_byte_by_byte_is_read() -> None:
+    async def scene() -> None:
+        heard = Heard()
+        fake, discovery = await heard.start()
+        discovery.watch(True)
+        await fake.calls.get()
+        call = discovery._watch
+        assert call is not None
+        line = json.dumps({"generation": 43, "instances": [ROW]}).encode() + b"\n"
+        text = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(line), line)
+        for byte in text:   # as the loop would hand them on, had each come by itself
+            call.data_received(bytes([byte]))
+        kind, [item] = await asyncio.wait_for(heard.told.get(), 2)
+        assert (kind, item.entry.host) == (ListKind.DELTA, "h0")
+        assert heard.told.empty()
+    play(scene)
+
+
 def test_a_watch_that_falls_silent_before_its_first_line_leaves_time_for_another() -> None:
     async def scene() -> None:
         heard = Heard()
