A list that comes indented on a watch is read, and one cut short is asked for again

Seen: the users' page says that lists may come indented. On a watch such an object is spread over several lines, each was taken for an object and broken, and the call began anew without end (test on real sockets, three kinds of indenting). Whole lists were read already. At fault: data_received in gateway/discovery.py.

An object that stays open for half a second, or to the next empty line, was cut short and the call fails as before.

--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -31,6 +31,8 @@
 HANDOVER = 4 * SECOND
 """So long after a new address is named, failed calls to it are repeated without the module's pauses."""
 HANDOVER_PAUSE = 0.2
+SPREAD = SECOND // 2
+"""An object spread over several lines is given up when its rest has not come so soon: it was cut short."""
 MAX_LINE = 8 * 1024 * 1024
 BACKOFF_FIRST, BACKOFF_MAX = 0.25, 5.0
 PATH = "/registry/instances"
@@ -98,6 +100,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._line = bytearray()
         self._ready: list[bytes] = []
+        self._part = bytearray()   # the lines so far of an object that is spread over several
         self._status = 0
         self._done = False
         self.transport: asyncio.Transport | None = None
@@ -129,15 +132,25 @@
         self.heard = now_ns()
         lines, self._ready = self._ready, []
         for line in lines:
-            if line.strip() and not self.over:
-                self._owner.line(self, line)
-        if len(self._line) > MAX_LINE:
+            if not self.over:
+                self._take(line)
+        if len(self._line) + len(self._part) > MAX_LINE:
             self._owner.ended(self, "a line without end")
         elif self._done and not self.over:
             if not self.watch:
                 self._owner.line(self, bytes(self._line))
             self._owner.ended(self, "the answer has ended", failed=self.watch)
 
+    def _take(self, line: bytes) -> None:
+        """A line of the watch; an indented object is spread over several, and the last one closes it."""
+        if line.strip():
+            first = not self._part
+            self._part += line + b"\n"
+            if (first or line.rstrip().endswith(b"}")) and self._owner.line(self, bytes(self._part)):
+                self._part.clear()
+        elif self._part:
+            self._owner.ended(self, "an object without end")
+
     def on_headers_complete(self) -> None:
         self._status = self._parser.get_status_code()
 
@@ -158,7 +171,7 @@
     def silent(self, now: int) -> bool:
         """Whether nothing has come for too long: the other side may have vanished without a word."""
         if self.heard:
-            return now - self.heard > SILENT
+            return now - self.heard > (SPREAD if self._part else SILENT)
         return now - self.begun > (CONNECT if self.transport is None else CALL)
 
     def close(self) -> None:
@@ -261,15 +274,18 @@
         except asyncio.CancelledError:
             pass
 
-    def line(self, call: _Call, text: bytes) -> None:
-        """A list or its changes have come."""
+    def line(self, call: _Call, text: bytes) -> bool:
+        """A list or its changes have come; false where the rest of it is yet to come."""
         try:
             generation, whole, entries = self._lines.parse(json.loads(text))
+        except json.JSONDecodeError as error:
+            if call.watch and error.pos >= len(error.doc.rstrip()):
+                return False
+            self._broken(call, error)
+            return True
         except (BadLine, ValueError, RecursionError) as error:
-            # Guards against a lost change: the call is given up and begun anew from the last good version.
-            log.warning("broken line dropped: %s", error)
-            self.ended(call, "a broken line")
-            return
+            self._broken(call, error)
+            return True
         if call is self._next:   # nothing that the old address says comes after this
             self._close(self._watch)
             self._watch, self._next = call, None
@@ -277,6 +293,12 @@
             self.generation = generation
         self._pause = BACKOFF_FIRST
         self._tell(ListKind.FULL if whole or call is self._fetch else ListKind.DELTA, entries)
+        return True
+
+    def _broken(self, call: _Call, error: Exception) -> None:
+        """Guards against a lost change: the call is given up and begun anew from the last good version."""
+        log.warning("broken line dropped: %s", error)
+        self.ended(call, "a broken line")
 
     def ended(self, call: _Call, why: str, failed: bool = True) -> None:
         """A call is over; told once, and only if it failed."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -93,6 +93,49 @@
     play(scene)
 
 
+@pytest.mark.parametrize("indent", [0, 2, "\t"])
+def test_a_list_may_come_indented(indent: int | str) -> None:
+    async def scene() -> None:
+        heard = Heard()
+        fake, discovery = await heard.start()
+        discovery.watch(True)
+        _, writer = await fake.calls.get()
+        fake.head(writer)
+        for generation in (43, 44):
+            rows = [ROW, {**ROW, "instanceId": "h1"}]
+            fake.raw(writer, json.dumps({"generation": generation, "instances": rows, "reset": False},
+                                        indent=indent).encode() + b"\n")
+            kind, listed = await asyncio.wait_for(heard.told.get(), 2)
+            assert (kind, [item.entry.host for item in listed]) == (ListKind.DELTA, ["h0", "h1"])
+        fake.raw(writer, b"\n")
+        fake.line(writer, 45, [])
+        assert await heard.told.get() == (ListKind.DELTA, [])
+    play(scene)
+
+
+@pytest.mark.parametrize("beat", [True, False])
+def test_a_list_that_is_cut_short_is_asked_for_again(beat: bool) -> None:
+    async def scene() -> None:
+        heard = Heard()
+        fake, discovery = await heard.start()
+        discovery.watch(True)
+        _, writer = await fake.calls.get()
+        fake.head(writer)
+        fake.line(writer, 43, [])
+        assert await heard.told.get() == (ListKind.DELTA, [])
+        fake.raw(writer, b'{"generation": 44, "instances": [\n')
+        if beat:
+            fake.raw(writer, b"\n")
+        else:
+            call = discovery._watch
+            await until(lambda: call is not None and bool(call._part))
+            discovery.sweep(now_ns() + SECOND)
+        assert await asyncio.wait_for(heard.told.get(), 2) == (ListKind.FAILED, [])
+        discovery.watch(True)
+        assert "from=43" in (await fake.calls.get())[0]
+    play(scene)
+
+
 @pytest.mark.parametrize("answer", [b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", b"noise\r\n\r\n",
                                     b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"])
 def test_a_call_that_fails_is_told_once(answer: bytes) -> None:
