An attempt given up has ended its sending before its retry can be written

Seen: strace of a time-out and its retry: the transport's close comes a turn of the loop after abort(), while a retry on an idle connection is written within the same event. For that moment two attempts were out on open connections. A retry on a new connection was right, as its write comes after the close.

At fault: Connection.give_up in gateway/upstream.py, which reports the end first. It now shuts the socket down itself. Three forced crossings (cancelled, expired, spoilt) fail without it.

--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import select
+import socket
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, cast
 
@@ -272,6 +273,7 @@
     def give_up(self, outcome: Outcome) -> None:
         """End the attempt and close; buffered bytes of it are thrown away, never sent later."""
         attempt, self.attempt = self.attempt, None
+        self._end_sending()
         self._close()
         if attempt is not None:
             attempt.end(outcome)
@@ -280,6 +282,19 @@
         """Whether the request's last byte is on the socket."""
         return self._written
 
+    def _end_sending(self) -> None:
+        """Guards against a second copy: the transport closes a turn later, a retry may be out before."""
+        own = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if own is None or own.fileno() < 0:
+            return
+        sock = socket.socket(own.family, own.type, own.proto, own.fileno())
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass   # the host was first
+        finally:
+            sock.detach()   # it stays the transport's
+
     def _close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,7 +11,7 @@
 from gateway.discovery import Listed
 from gateway.timers import Timers, now_ns
 from gateway.upstream import MAX_HEAD, Answer, Attempt, Upstream
-from tests.sockets import OK, FakeHost, Stage, play, request
+from tests.sockets import OK, FakeHost, Stage, play, request, until
 
 HEAD = b"GET /read/x HTTP/1.1\r\nX-Request-ID: r1\r\n"
 TURNED_AWAY = b"Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -203,6 +203,40 @@
     play(scene)
 
 
+@pytest.mark.parametrize("how", ["cancel", "expire", "spoilt"])
+def test_an_attempt_is_off_its_connection_before_the_next_is_written(how: str) -> None:
+    """The transport closes its socket a turn later; a retry on an idle connection was out before that."""
+    async def scene() -> None:
+        bench, loop = Bench(), asyncio.get_running_loop()
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            bench.tell(f"127.0.0.1:{listener.getsockname()[1]}")
+            attempt, result = bench.start()
+            host, _ = await loop.sock_accept(listener)
+            with host:
+                await loop.sock_recv(host, 1000)
+                if how == "spoilt":
+                    at_its_end: list[bytes | None] = []
+                    attempt.ended = lambda *_: at_its_end.append(peek(host))
+                    await loop.sock_sendall(host, b"noise\r\n\r\n")
+                    await until(lambda: bool(at_its_end))
+                    assert at_its_end == [b""]
+                else:
+                    getattr(bench.upstream, how)(attempt)
+                    assert result.done() and peek(host) == b""   # without a turn of the loop
+    play(scene)
+
+
+def peek(sock: socket.socket) -> bytes | None:
+    """What can be read now: nothing at the end of the other side's sending, None while that is open."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return None
+
+
 def test_a_cancelled_connect_leaves_nothing_behind() -> None:
     async def scene() -> None:
         bench, host = Bench(), await FakeHost().start()
