A host's connection rests for 10 ms before it is used again: a second answer may be late

A request written to the same connection meanwhile is answered with the other one's body; forced on real sockets it was.

Ruled out: unread() (it sees what has come, not what will), the parser (a second message behind the first is seen). At fault: Upstream.start takes the newest connection at once. The users say some milliseconds: 10 of rest.

Two tests took for granted that a connection is used again at once; they now let it rest first, by setting back when it became idle, and hold the same counts.

--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -10,6 +10,7 @@
 import logging
 import select
 import socket
+from bisect import bisect_right
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, cast
 
@@ -29,6 +30,9 @@
 IDLE_PART = 0.6
 """Part of the host's idle time-out for which a connection is kept: well before the host closes it."""
 IDLE_DEFAULT = 10 * SECOND
+REST = 10 * MS
+"""A connection rests so long after an answer: a second one may come some milliseconds late, and nothing tells
+it from the answer of the next request."""
 SECOND_ANSWER = "more than one answer"
 KEPT_PER_HOST = 16
 """Idle connections kept to one host."""
@@ -355,13 +359,15 @@
             self._drop_idle(host)
 
     def start(self, attempt: Attempt) -> None:
-        """Send an attempt on the newest idle connection, or on a new one once that is up."""
+        """Send an attempt on the newest idle connection that has rested, or on a new one once that is up."""
         host = self._hosts.get(attempt.host)
         if host is None or not host.ready:
             attempt.end(Outcome.CONNECT_FAILED)
             return
-        while host.idle:
-            conn = host.idle.pop()
+        rested = bisect_right(host.idle, now_ns() - REST, key=lambda conn: conn.idle_at)
+        while rested:
+            rested -= 1
+            conn = host.idle.pop(rested)
             if not conn.unread():
                 conn.send(attempt)
                 return
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,7 +10,7 @@
 from bridgesaddle.api import MS, SECOND, HostEntry, HostState, Outcome
 from gateway.discovery import Listed
 from gateway.timers import Timers, now_ns
-from gateway.upstream import MAX_HEAD, Answer, Attempt, Upstream
+from gateway.upstream import MAX_HEAD, REST, Answer, Attempt, Upstream
 from tests.sockets import OK, FakeHost, Stage, play, request, until
 
 HEAD = b"GET /read/x HTTP/1.1\r\nX-Request-ID: r1\r\n"
@@ -45,6 +45,13 @@
             self.upstream.expire(attempt)
 
 
+def rest(upstream: Upstream) -> None:
+    """Idle connections have stood long enough to be used again."""
+    for host in upstream._hosts.values():
+        for conn in host.idle:
+            conn.idle_at -= REST
+
+
 def silent_listener() -> tuple[socket.socket, list[socket.socket], str]:
     """A listener whose queue is full: new connections to it never come up."""
     listener = socket.socket()
@@ -67,10 +74,31 @@
             client = await stage.client()
             for number in range(3):
                 assert (await client.ask(request(rid=f"r{number}")))[::2] == (200, b"done")
+                rest(stage.gateway.upstream)
             assert host.connections == 1
     play(scene)
 
 
+def test_a_late_second_answer_does_not_reach_the_next_request() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost(reply=None)
+            await stage.begin(host)
+            client = await stage.client()
+            client.send(request(rid="r0"))
+            first = await host.seen.get()
+            first.reply()
+            assert (await client.answer())[::2] == (200, b"done")
+            client.send(request(rid="r1"))
+            second = await asyncio.wait_for(host.seen.get(), 5)   # on a connection of its own
+            assert second.headers["x-request-id"] == "r1"
+            first.reply(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+            await first.closed()   # the gateway has read it
+            second.reply()
+            assert (await client.answer())[::2] == (200, b"done")
+    play(scene)
+
+
 @pytest.mark.parametrize(("reply", "closes", "outcome"), [
     (OK, False, Outcome.OK),
     (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, False, Outcome.OK),
@@ -275,6 +303,7 @@
         for item, result in zip(seen, results, strict=True):
             item.reply()
             assert (await result)[0] is Outcome.OK
+        rest(bench.upstream)
         bench.upstream.sweep(now_ns() + 8 * SECOND)
         third, result = bench.start()
         assert (await seen[1].reader.readline()).startswith(b"GET ")   # on the one that came back last
