--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -9,6 +9,8 @@
 import asyncio
 import logging
 import select
+import socket
+from bisect import bisect_right
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, cast
 
@@ -28,6 +30,9 @@
 IDLE_PART = 0.6
 """Part of the host's idle time-out for which a connection is kept: well before the host closes it."""
 IDLE_DEFAULT = 10 * SECOND
+REST = 10 * MS
+"""A connection rests so long after an answer: a second one may come some milliseconds late, and nothing tells
+it from the answer of the next request."""
 SECOND_ANSWER = "more than one answer"
 KEPT_PER_HOST = 16
 """Idle connections kept to one host."""
@@ -272,6 +277,7 @@
     def give_up(self, outcome: Outcome) -> None:
         """End the attempt and close; buffered bytes of it are thrown away, never sent later."""
         attempt, self.attempt = self.attempt, None
+        self._end_sending()
         self._close()
         if attempt is not None:
             attempt.end(outcome)
@@ -280,6 +286,19 @@
         """Whether the request's last byte is on the socket."""
         return self._written
 
+    def _end_sending(self) -> None:
+        """Guards against a second copy: the transport closes a turn later, a retry may be out before."""
+        own = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if own is None or own.fileno() < 0:
+            return
+        sock = socket.socket(own.family, own.type, own.proto, own.fileno())
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass   # the host was first
+        finally:
+            sock.detach()   # it stays the transport's
+
     def _close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -340,13 +359,15 @@
             self._drop_idle(host)
 
     def start(self, attempt: Attempt) -> None:
-        """Send an attempt on the newest idle connection, or on a new one once that is up."""
+        """Send an attempt on the newest idle connection that has rested, or on a new one once that is up."""
         host = self._hosts.get(attempt.host)
         if host is None or not host.ready:
             attempt.end(Outcome.CONNECT_FAILED)
             return
-        while host.idle:
-            conn = host.idle.pop()
+        rested = bisect_right(host.idle, now_ns() - REST, key=lambda conn: conn.idle_at)
+        while rested:
+            rested -= 1
+            conn = host.idle.pop(rested)
             if not conn.unread():
                 conn.send(attempt)
                 return
