A broken watch whose next call fails is asked for after small pauses too

Seen: reading the code against the clock of silence (6 s, whatever ask-within is). After a broken watch a call that fails waited as one at the start: max(0.1 of ask-within, the spread), that is 2.5 to 7.5 s with 200 gateways here and up to 9 s where ask-within is 60 s.

At fault: _ask_later in decide.py. The pause now begins at a second and doubles until a list has come.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -265,6 +265,7 @@
         self._held: list[tuple[float, int, _Request]] = []   # a heap, the dearest work first
         self._held_n = 0         # of its entries, those still held
         self._watching = False
+        self._missing = False    # a watch broke, and no list has come since
         self._ask_gap = 0.0
         self._served = 0.0       # answers a second, all servers, smoothed
         self._served_at = 0
@@ -304,6 +305,7 @@
                 self._wake(None, int(self._random() * self._ask_spread()))
         else:
             self._watching = True
+            self._missing = False
             self._ask_gap = 0.0
 
     def _learn(self, entry: HostEntry, now: int) -> None:
@@ -373,15 +375,18 @@
 
         The more gateways there are the wider it is drawn.  Guards against calls that fail together and come
         again together: discovery works at each for some time before it fails, and so lists none of them.
-        A watch that stood and broke is no failed call, and is asked for soon: hosts may drain meanwhile.
+        A watch that stood and broke is no failed call, and is asked for soon: hosts may drain meanwhile.  If
+        that call fails too the pause begins as small: what was missed may long count as told.
         """
         if not self._set.ask_discovery:
             return
         if self._watching:
+            self._missing = True
             self._wake(None, int(self._random() * min(ASK_AGAIN, self._ask_spread())))
             return
         within = self._set.rules.ask_within_ns
-        self._ask_gap = min(max(2 * self._ask_gap, ASK_FIRST * within, self._ask_spread()), ASK_MAX * within)
+        first = ASK_AGAIN if self._missing else max(ASK_FIRST * within, self._ask_spread())
+        self._ask_gap = min(max(2 * self._ask_gap, first), ASK_MAX * within)
         self._wake(None, int(self._ask_gap * (0.5 + self._random())))
 
     def _ask_spread(self) -> float:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -583,6 +583,22 @@
         assert sum(begin * SECOND <= 10 * at < (begin + 1) * SECOND for at in again) <= 33
 
 
+def test_a_watch_that_broke_is_asked_for_soon_though_a_call_fails() -> None:
+    """Where lists may be old for a minute a failed call waited up to 9 s, a broken watch or not."""
+    for number in range(20):
+        gateway = Gateway(some_settings(replicas=200, me=number, ask_discovery=True,
+                                        rules=Rules(ask_within_ns=60 * SECOND)), salt=number)
+        gateway.list(ListKind.FULL, [entry("h")])
+        for most in (SECOND, 3 * SECOND // 2, 3 * SECOND, 6 * SECOND):
+            gateway.timers.clear()
+            gateway.list(ListKind.FAILED, [])
+            assert max(gateway.timers.values()) <= most
+        gateway.list(ListKind.FULL, [entry("h")])
+        gateway.timers.clear()
+        gateway.list(ListKind.FAILED, [])
+        assert max(gateway.timers.values()) <= SECOND
+
+
 def test_a_server_that_is_slow_with_little_to_do_is_seen_by_its_answers() -> None:
     """Reports count requests at the usual speed: hosts just started, ten times slower, were kept full."""
     gateway = Gateway(some_settings(report_fields=("util", "inflight")), [entry("a"), entry("b")])
