Where lists are pushed, pauses between failed calls stay within the grace for drains

Seen: reading the code against the clock of pushed lists: what the agent has counts as told at once, also when it is back after an outage. Failed calls were repeated after up to 7.5 s, where the grace is 1 to 2.5 s.

At fault: BACKOFF_MAX in gateway/discovery.py.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -123,7 +123,8 @@
         offset = time.monotonic_ns() - time.time_ns()
         self.discovery = Discovery(loop, self.timers, config.discovery,
                                     Lines(config.zones, config.kinds, offset),
-                                    not settings.ask_discovery, self.core.on_list)
+                                    not settings.ask_discovery, settings.rules.drain_grace_ns,
+                                    self.core.on_list)
         self.core.attach(self.upstream, self.discovery)
         self.server = Server(self.core, settings, int(free * CLIENTS))
         self._listener: asyncio.Server | None = None
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -35,6 +35,8 @@
 """An object spread over several lines is given up when its rest has not come so soon: it was cut short."""
 MAX_LINE = 8 * 1024 * 1024
 BACKOFF_FIRST, BACKOFF_MAX = 0.25, 5.0
+BACKOFF_PART = 0.3
+"""Part of the grace for drains that a pause may take where lists are pushed: their news counts at once."""
 PATH = "/registry/instances"
 STATES = {"in_service": HostState.READY, "terminating": HostState.DRAINING, "terminated": HostState.GONE}
 
@@ -190,7 +192,7 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, address: tuple[str, int],
-                 lines: Lines, pushed: bool,
+                 lines: Lines, pushed: bool, grace_ns: int,
                  tell: Callable[[ListKind, list[Listed]], None]) -> None:
         self._loop = loop
         self._timers = timers
@@ -198,6 +200,7 @@
         self.epoch = 0   # one more with each new address
         self._lines = lines
         self._pushed = pushed
+        self._longest = min(BACKOFF_MAX, max(0.05, BACKOFF_PART * grace_ns / SECOND))
         self._tell = tell
         self._watch: _Call | None = None
         self._next: _Call | None = None   # the watch of a new address, until its first list
@@ -321,7 +324,8 @@
             return
         self._tell(ListKind.FAILED, [])
         if self._pushed and self._watch is None:
-            self._timers.after(int(self._pause * (0.5 + random.random()) * SECOND), self.watch, True)
+            pause = min(self._pause, self._longest)
+            self._timers.after(int(pause * (0.5 + random.random()) * SECOND), self.watch, True)
             self._pause = min(2 * self._pause, BACKOFF_MAX)
 
     def start(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,6 +13,7 @@
 from gateway.timers import Timers, now_ns
 from tests.sockets import FakeDiscovery, FakeHost, Stage, play, request, until
 
+GRACE = 400 * MS
 ROW: dict[str, Any] = {"instanceId": "h0", "hostPort": "127.0.0.1:7070", "zone": "b", "machineType": "m2",
                        "cell": 3, "lifecycle": "in_service", "weight": 1.5, "startedAtMs": 2000}
 
@@ -27,8 +28,9 @@
     async def start(self) -> tuple[FakeDiscovery, Discovery]:
         loop, fake = asyncio.get_running_loop(), await FakeDiscovery().start()
         host, _, port = fake.address.rpartition(":")
-        discovery = Discovery(loop, Timers(loop), (host, int(port)), Lines(["a", "b"], ["m1", "m2"], 10 * MS),
-                              self.pushed, lambda kind, listed: self.told.put_nowait((kind, listed)))
+        self.timers = Timers(loop)
+        discovery = Discovery(loop, self.timers, (host, int(port)), Lines(["a", "b"], ["m1", "m2"], 10 * MS),
+                              self.pushed, GRACE, lambda kind, listed: self.told.put_nowait((kind, listed)))
         discovery.known({"generation": 41, "reset": True, "instances": [ROW]})
         assert [(kind, len(listed)) for kind, listed in [await self.told.get()]] == [(ListKind.CACHED, 1)]
         discovery.start()
@@ -215,6 +217,19 @@
     play(scene)
 
 
+def test_where_lists_are_pushed_the_pauses_stay_short_however_often_calls_fail() -> None:
+    """What the agent has counts as told: after eight failed calls the next one waited up to 7.5 s."""
+    async def scene() -> None:
+        heard = Heard(pushed=True)
+        fake, _ = await heard.start()
+        for _ in range(8):
+            _, writer = await fake.calls.get()
+            writer.close()
+            assert await heard.told.get() == (ListKind.FAILED, [])
+            assert max(due for due, *_ in heard.timers._heap) - now_ns() <= GRACE // 2
+    play(scene)
+
+
 def where(fake: FakeDiscovery) -> tuple[str, int]:
     host, _, port = fake.address.rpartition(":")
     return host, int(port)
