Where lists are pushed, a new address is asked again though the old watch still stands

Seen: reading ended() for a move by SIGHUP. When the new address fails past the first 4 s while the old one still speaks, nothing asked it again: lists then come from an address that the configuration no longer names, for ever. Forced in a test that hangs without the change. Ruled out where discovery is asked: the module asks again. At fault: the condition _watch is None in gateway/discovery.py.

--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -323,7 +323,7 @@
             self._timers.after(int(pause * SECOND), self._watch_anew, self.epoch)
             return
         self._tell(ListKind.FAILED, [])
-        if self._pushed and self._watch is None:
+        if self._pushed and self._stale():   # a watch of an old address that still stands is not enough
             pause = min(self._pause, self._longest)
             self._timers.after(int(pause * (0.5 + random.random()) * SECOND), self.watch, True)
             self._pause = min(2 * self._pause, BACKOFF_MAX)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -300,6 +300,27 @@
     play(scene)
 
 
+def test_where_lists_are_pushed_a_new_address_is_asked_though_the_old_one_still_speaks() -> None:
+    async def scene() -> None:
+        heard = Heard(pushed=True)
+        fake, discovery = await heard.start()
+        other = await FakeDiscovery().start()
+        _, old = await fake.calls.get()
+        fake.head(old)
+        fake.line(old, 42, [])
+        assert await heard.told.get() == (ListKind.DELTA, [])
+        discovery.move(where(other))
+        _, new = await other.calls.get()
+        discovery._moved_at -= HANDOVER   # its time is over when the first call fails
+        new.close()
+        assert await heard.told.get() == (ListKind.FAILED, [])
+        _, new = await asyncio.wait_for(other.calls.get(), 5)
+        other.head(new)
+        other.line(new, 7, [ROW], reset=True)
+        assert (await heard.told.get())[0] is ListKind.FULL
+    play(scene)
+
+
 def test_the_sockets_follow_the_list() -> None:
     async def scene() -> None:
         async with Stage() as stage:
