A configuration with an endless number is refused in one line like any other bad one

Seen: each value of a configuration replaced by thirteen odd ones, 700 files: two ended in a traceback instead of one plain line, an infinite limits.sockets and memory_mb. At SIGHUP the old configuration stayed, as it should. At fault: the list of errors in Config (gateway/__main__.py), which lacked OverflowError.

With it a test of SIGTERM amid SIGHUP with broken files: what is sent, what waits for a host and what comes on an open connection each get one answer (it passed before).

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -79,7 +79,8 @@
             self.kinds = [str(name) for name in raw.get("flavors", ())]
         except KeyError as error:
             raise BadConfig(f"{error} is missing") from None
-        except (OSError, ValueError, TypeError, AttributeError, RecursionError, WireError) as error:
+        except (OSError, ValueError, TypeError, AttributeError, OverflowError, RecursionError,
+                WireError) as error:
             raise BadConfig(str(error)) from None
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -51,7 +51,9 @@
 
 
 @pytest.mark.parametrize("text", [None, "", "{", "[]", "{}", '{"listen": "x", "discovery": "127.0.0.1:1"}',
-                                  '{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": 7}'])
+                                  '{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": 7}',
+                                  '{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", '
+                                  '"limits": {"sockets": 1e999}}'])
 def test_a_bad_configuration_is_one_plain_line(text: str | None, tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     if text is not None:
@@ -87,6 +89,40 @@
     play(scene)
 
 
+def test_sigterm_amid_sighup_leaves_what_is_sent_what_waits_and_what_comes_one_answer(tmp_path: Path) -> None:
+    async def scene() -> None:
+        host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
+        config = write_config(tmp_path / "c", discovery, host)
+        program, where = await launch(tmp_path / "c")
+        sent, waiting, later = [await connect(where) for _ in range(3)]
+        sent.send(request(rid="sent"))
+        seen = await host.seen.get()
+        waiting.send(request(rid="waiting"))     # the one host is taken
+        assert (await later.ask(READY))[0] == 200
+        (tmp_path / "c").write_text(json.dumps({**config, "limits": {"sockets": 1e999}}))
+        program.send_signal(signal.SIGHUP)
+        program.send_signal(signal.SIGTERM)
+        program.send_signal(signal.SIGHUP)       # a broken file before and after the word to stop
+        program.send_signal(signal.SIGTERM)
+        while (await (await connect(where)).ask(READY))[0] != 503:   # the signals have a way to go
+            pass
+        sent.writer.write(request(rid="next"))   # crosses the answer of the one before
+        seen.reply(LAST)
+        assert (await sent.answer())[::2] == (200, b"done")
+        order = []
+        for _ in range(2):
+            seen = await host.seen.get()
+            order.append(seen.headers["x-request-id"])
+            seen.reply(LAST)
+        assert sorted(order) == ["next", "waiting"]
+        assert (await waiting.answer())[::2] == (200, b"done")
+        assert (await sent.answer())[::2] == (200, b"done")
+        assert await waiting.reader.read() == await sent.reader.read() == b""   # one answer each
+        assert await program.wait() == 0
+        assert host.seen.empty()
+    play(scene)
+
+
 def test_the_last_answer_at_a_stop_ends_its_connection(tmp_path: Path) -> None:
     async def scene() -> None:
         host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
