Tests of reused connections let them rest, and none depends on how fast the machine is

With 10 ms of rest the tests of unread bytes and of a host's old sockets no longer came to the check they are for; they rest now, and fail again where that check is taken out (unread() seen so). The test of a late second answer sets the connection's idle time, and the gap of a retry is 1.5 s, so that a slow machine changes no verdict.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,6 +13,7 @@
 from gateway.upstream import MAX_HEAD, REST, Answer, Attempt, Upstream
 from tests.sockets import OK, FakeHost, Stage, play, request, until
 
+LIMIT = 60 * SECOND
 HEAD = b"GET /read/x HTTP/1.1\r\nX-Request-ID: r1\r\n"
 TURNED_AWAY = b"Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -89,6 +90,8 @@
             first = await host.seen.get()
             first.reply()
             assert (await client.answer())[::2] == (200, b"done")
+            for known in stage.gateway.upstream._hosts.values():
+                known.idle[0].idle_at += LIMIT   # the next one comes at once, however slow this machine is
             client.send(request(rid="r1"))
             second = await asyncio.wait_for(host.seen.get(), 5)   # on a connection of its own
             assert second.headers["x-request-id"] == "r1"
@@ -283,6 +286,7 @@
         bench, host, other = Bench(), await FakeHost().start(), await FakeHost().start()
         bench.tell(host.address)
         assert (await bench.start()[1])[0] is Outcome.OK
+        rest(bench.upstream)   # it could be used again
         seen = await host.seen.get()
         if change == "gone":
             bench.tell(host.address, HostState.GONE)
@@ -392,6 +396,7 @@
                 old.sendall(late)
             else:
                 old.close()
+            rest(bench.upstream)   # or it would not be looked at
             _, result = bench.start()
             new, _ = await loop.sock_accept(listener)
             await loop.sock_recv(new, 1000)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -14,9 +14,9 @@
 from tests.sockets import LAST, OK, SETTINGS, Client, FakeHost, Stage, play, request, until
 
 FULL = b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
-QUICK: dict[str, Any] = {"request-classes": [{**item, "slo-ns": 600 * MS}
+QUICK: dict[str, Any] = {"request-classes": [{**item, "slo-ns": 2000 * MS}
                                              for item in SETTINGS["request-classes"]]}
-"""Classes with an aim so short that a retry's gap is some 450 ms."""
+"""Classes with an aim so short that a retry's gap is 1.5 s."""
 
 
 def close(client: Client) -> None:
@@ -99,7 +99,7 @@
             leave(client)
             await until(lambda: not core.held())
             rung = asyncio.Event()
-            timers.after(600 * MS, lambda _: rung.set(), None)   # behind the gap in the one heap of timers
+            timers.after(2000 * MS, lambda _: rung.set(), None)   # behind the gap in the one heap of timers
             await rung.wait()
             assert first.seen.empty() and other.seen.empty()
     play(scene)
