Pauses after failed calls of discovery end before what it has counts as told

Cause: after a failed call a gateway paused up to one and a half times half of ask-within (7.5 s here, 45 s where lists may be a minute old), and first calls were spread over as much; the next call may then wait for its turn. The users' term is 6 s after discovery had a change and could be reached, whatever else is allowed after a failed call.

Change: a pause is drawn evenly from nothing to the back-off, which ends at 6 s since discovery could be reached, less 2 s for the next call's turn; the longer the failed call took, the sooner the next one, a second's spread at least. First calls are spread over 5 s at most, as on the known sites.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -103,6 +103,9 @@
 ASK_FIRST = 0.1      # first back-off, as a share of ask-within
 ASK_AGAIN = SECOND   # calls after watches that broke are spread over so much at most: what they miss
                      # counts as told 6 s later, and silence is noticed after half of that
+ASK_TOLD = 6 * SECOND  # whatever fails, a change counts as told so long after discovery had it and could be
+                       # reached
+ASK_TURN = 2 * SECOND  # of that time, what is left for the next call to wait its turn
 
 
 class _Estimate:
@@ -266,6 +269,8 @@
         self._held_n = 0         # of its entries, those still held
         self._watching = False
         self._missing = False    # a watch broke, and no list has come since
+        self._missing_at = 0     # since when changes may have been missed: the start, or a watch's end
+        self._asked_at = 0       # when the last call was begun
         self._ask_gap = 0.0
         self._served = 0.0       # answers a second, all servers, smoothed
         self._served_at = 0
@@ -281,7 +286,7 @@
         """Discovery has spoken."""
         now = self._tick(now_ns)
         if kind is ListKind.FAILED:
-            self._ask_later()
+            self._ask_later(now)
             self._watching = False
             return
         whole = kind is not ListKind.DELTA
@@ -301,6 +306,7 @@
         self._index()
         self._release(now)
         if kind is ListKind.CACHED:
+            self._missing_at = now
             if self._set.ask_discovery:
                 self._wake(None, int(self._random() * self._ask_spread()))
         else:
@@ -370,31 +376,38 @@
             attempt.pool.inflight -= 1
             attempt.server.silent += 1
 
-    def _ask_later(self) -> None:
+    def _ask_later(self, now: int) -> None:
         """Guards against many gateways asking in step: the pause doubles and is drawn anew each time.
 
         The more gateways there are the wider it is drawn.  Guards against calls that fail together and come
         again together: discovery works at each for some time before it fails, and so lists none of them.
         A watch that stood and broke is no failed call, and is asked for soon: hosts may drain meanwhile.  If
-        that call fails too the pause begins as small: what was missed may long count as told.
+        that call fails too the pause begins as small: what was missed may long count as told.  No pause goes
+        on past the time at which what discovery has meanwhile counts as told, less the next call's turn: the
+        longer a call took to fail, the sooner the next one.
         """
         if not self._set.ask_discovery:
             return
         if self._watching:
-            self._missing = True
+            self._missing, self._missing_at = True, now
             self._wake(None, int(self._random() * min(ASK_AGAIN, self._ask_spread())))
             return
         within = self._set.rules.ask_within_ns
         first = ASK_AGAIN if self._missing else max(ASK_FIRST * within, self._ask_spread())
         self._ask_gap = min(max(2 * self._ask_gap, first), ASK_MAX * within)
-        self._wake(None, int(self._ask_gap * (0.5 + self._random())))
+        # Discovery may have been there since the last news, or since just after the call that failed began.
+        since = self._missing_at if now < self._missing_at + ASK_TOLD else self._asked_at
+        longest = min(self._ask_gap, max(ASK_AGAIN, since + ASK_TOLD - ASK_TURN - now))
+        self._wake(None, int(self._random() * longest))
 
     def _ask_spread(self) -> float:
-        """The time over which the calls of all gateways are spread."""
-        return ASK_SPREAD * min(1.0, self._set.replicas / ASK_CROWD) * self._set.rules.ask_within_ns
+        """The time over which the calls of all gateways are spread; the first may be one that fails."""
+        share = ASK_SPREAD * min(1.0, self._set.replicas / ASK_CROWD)
+        return min(share * self._set.rules.ask_within_ns, ASK_TOLD - ASK_AGAIN)
 
     def _ask(self) -> None:
         if not self._watching:
+            self._asked_at = self._now
             self._act.watch(True)
 
     # ---- 2. The estimate for each server ----------------------------------------------------------
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -321,6 +321,36 @@
     play(scene)
 
 
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_new_address_that_accepts_and_says_nothing_is_asked_again_in_time(pushed: bool) -> None:
+    """What it has to tell counts as told 4 s after the signal, and 6 s after it could be reached."""
+    async def scene() -> None:
+        heard = Heard(pushed)
+        fake, discovery = await heard.start()
+        other = await FakeDiscovery().start()
+        discovery.watch(True)
+        _, old = await fake.calls.get()
+        fake.head(old)
+        fake.line(old, 42, [])
+        assert await heard.told.get() == (ListKind.DELTA, [])
+        discovery.move(where(other))
+        await other.calls.get()
+        old.close()   # as the old address does soon after
+        await until(lambda: discovery._watch is None)
+        discovery._moved_at -= HANDOVER
+        discovery.sweep(now_ns() + 17 * SECOND // 4)
+        assert await heard.told.get() == (ListKind.FAILED, [])
+        if pushed:   # nobody else asks
+            assert min(due for due, *_ in heard.timers._heap) - now_ns() <= GRACE // 2
+        else:        # the module does: its watch broke, and so within a second
+            discovery.watch(True)
+        _, new = await other.calls.get()
+        other.head(new)
+        other.line(new, 7, [ROW], reset=True)
+        assert (await heard.told.get())[0] is ListKind.FULL
+    play(scene)
+
+
 def test_the_sockets_follow_the_list() -> None:
     async def scene() -> None:
         async with Stage() as stage:
