Cold hosts: the judge of many gateways takes the least capacity of each window

Change: the capacity at the window's begin counts, and a fifth of N + 2 x root of N + 2 has to be left.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,7 +1,8 @@
 """Many gateways beside one cold server: what all of them send it, judged by books of their own.
 
-The judge counts sends alone and shares no code with the module.  `python -m tests.fleet SEEDS` measures
-every scene: the share of seeds on which the server falls, the worst window, the mean use of its budget.
+The judge counts sends alone, takes the least capacity of each window and shares no code with the module.
+`python -m tests.fleet SEEDS [WORDS]` measures every scene, or those with one of the words in their names: the
+share of seeds on which the server falls, the worst window, the mean use of its budget.
 """
 
 from __future__ import annotations
@@ -252,7 +253,8 @@
         for last, at in enumerate(self.sends):
             while self.sends[first] <= at - rules.fall_ns:
                 first += 1
-            bears = rules.fall_multiple * server.capacity(at) * rules.fall_ns / SECOND
+            least = server.capacity(max(START, at - rules.fall_ns))   # the window's end allows it more
+            bears = rules.fall_multiple * least * rules.fall_ns / SECOND
             worst = max(worst, (last - first + 1) / (bears + 2 * sqrt(bears) + 2))
         budget = sum(rules.fall_multiple * server.capacity(START + step * SECOND // 10) / 10
                      for step in range(10 * self.scene.seconds))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -25,11 +25,11 @@
                                                                   work_ns: int) -> None:
     """Cold servers that answer like warm ones and say they are idle, under too much load.
 
-    Four tenths of what a server bears have to be left: its speed and what others send are guessed.
+    A fifth of what a server bears has to be left: its speed and what others send are guessed.
     """
     for seed in range(2):
         scene = Scene(gateways, hosts, work_ns=work_ns, busy=1.5, replaced=True, blind=True, colds=1.0,
                       seconds=3)
         verdict = Fleet(scene, seed).run()
         assert verdict.use > 0.2
-        assert verdict.worst < 0.6
+        assert verdict.worst < 0.8
