Idle clients leave descriptors for discovery and hosts: forced on the program

The program had only been shown not to crash without descriptors. A crowd of 100 that is mute, asks for the health or sends half a request, and comes again when it is closed, now fills the room of clients under RLIMIT_NOFILE 96 while discovery is down. Twelve calls of discovery in a row fail for want of discovery alone (ECONNREFUSED), then it listens, and the gateway asks, is ready and serves with the crowd still there.

The code held already.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import socket
 import tempfile
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import AsyncExitStack
@@ -123,9 +124,10 @@
         self.calls: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
         self.address = ""
 
-    async def start(self) -> FakeDiscovery:
-        """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, own: socket.socket | None = None) -> FakeDiscovery:
+        """Listen on a free port, or on a socket that is bound already."""
+        server = await (asyncio.start_server(self._serve, "127.0.0.1", 0) if own is None
+                        else asyncio.start_server(self._serve, sock=own))
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         return self
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import resource
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -213,3 +215,53 @@
         client.writer.close()
         assert await program.wait() == 0
     play(scene)
+
+
+@pytest.mark.parametrize("words", [b"", READY, request()[:-2]], ids=["mute", "health", "half"])
+def test_idle_clients_leave_descriptors_for_discovery_and_hosts(words: bytes, tmp_path: Path) -> None:
+    """They fill their room while discovery is down, and are there still when it is back."""
+    async def stay(where: tuple[str, int], turned_away: asyncio.Event) -> None:
+        while True:   # one that is closed comes again
+            try:
+                client = await connect(where)
+                client.send(words)
+                await client.reader.read()
+                client.writer.close()
+                turned_away.set()
+            except OSError:
+                pass
+            await asyncio.sleep(0.1)
+
+    async def scene() -> None:
+        host, discovery = await FakeHost().start(), FakeDiscovery()
+        own = socket.socket()
+        own.bind(("127.0.0.1", 0))   # it does not listen yet
+        discovery.address = f"127.0.0.1:{own.getsockname()[1]}"
+        config = write_config(tmp_path / "c", discovery)
+        (tmp_path / "c").write_text(json.dumps({**config, "limits": {"sockets": 96}}))
+        program, where = await launch(tmp_path / "c", sockets=96)
+        turned_away = asyncio.Event()
+        crowd = [asyncio.create_task(stay(where, turned_away)) for _ in range(100)]
+        await turned_away.wait()
+        assert program.stderr is not None
+        for _ in range(12):   # calls that fail for want of discovery only
+            line = (await program.stderr.readline()).decode()
+            assert "discovery: no connection" in line and f"Errno {errno.ECONNREFUSED}" in line
+        await discovery.start(own)
+        _, writer = await discovery.calls.get()
+        discovery.head(writer)
+        discovery.line(writer, 42, [host.row()])
+        for words in (READY, request()):
+            while True:
+                client = await connect(where)
+                try:
+                    if (await client.ask(words))[0] == 200:
+                        break
+                except (OSError, asyncio.IncompleteReadError):
+                    pass   # new connections may be turned away
+                client.writer.close()
+            client.writer.close()
+        assert not any(task.done() for task in crowd)
+        program.kill()
+        await program.wait()
+    play(scene)
