Thirty gateways that start together are ready in time: forced over sockets

With an empty known list a gateway waits for discovery.

Tried and left: first calls of those without any server within 1 s instead of 5 s.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -265,3 +265,19 @@
         program.kill()
         await program.wait()
     play(scene)
+
+
+def test_thirty_that_start_together_are_ready_at_the_first_check(tmp_path: Path) -> None:
+    """Each has the list that it knew, whether or not discovery is there."""
+    async def scene() -> None:
+        host, discovery = await FakeHost().start(), FakeDiscovery()
+        own = socket.socket()
+        own.bind(("127.0.0.1", 0))   # it does not listen
+        discovery.address = f"127.0.0.1:{own.getsockname()[1]}"
+        write_config(tmp_path / "c", discovery, host)
+        for program, where in await asyncio.gather(*(launch(tmp_path / "c") for _ in range(30))):
+            assert (await (await connect(where)).ask(READY))[0] == 200
+            program.kill()
+            await program.wait()
+        own.close()
+    play(scene)
