Nothing is begun for a client that left over 0.1 s ago as its connection comes up

Cause: what waited for a host's connection was given up 0.2 s after the client's close, by a timer alone; 0.1 s is allowed, and a loop that is held up reads the connection first.

Change: a request is fresh for 50 ms from its being read. Once its client has ended its sending an attempt begins only while it is fresh, which is asked as the connection comes up; what ends so was never sent (moot). The bound counts from the reading, not from when the close is noticed: that may be late. An attempt that has begun, if only in part, goes on as what is out.

Checked: the new test fails without the mend for close and half-close.

--- a/gateway/core.py
+++ b/gateway/core.py
@@ -24,8 +24,9 @@
 
 MARGIN = 25 * MS
 """The module is told so much less time than the client has: the answer has a way to go."""
-LEFT = 200 * MS
-"""A connection that comes up so long after the client has ended its sending goes unused: 0.3 s is allowed."""
+LEFT = 50 * MS
+"""Nothing is begun for a client that has ended its sending once its request was read so long ago: 0.1 s after
+its close is allowed."""
 LAST_CALL = 12 * MS
 """So long before the client's time is up, the gateway answers by itself if the module has not."""
 
@@ -86,12 +87,14 @@
 class Request:
     """A request that is held; it stays in the table until its attempts have ended too."""
 
-    __slots__ = ("attempts", "closing", "deadline", "exchange", "out", "payload", "rid")
+    __slots__ = ("attempts", "closing", "deadline", "exchange", "fresh_until", "out", "payload", "rid")
 
-    def __init__(self, rid: int, exchange: Exchange, payload: tuple[bytes, bytes], deadline: int) -> None:
+    def __init__(self, rid: int, exchange: Exchange, payload: tuple[bytes, bytes], now: int,
+                 deadline: int) -> None:
         self.rid = rid
         self.exchange: Exchange | None = exchange   # None once the answer is given or the client has gone
         self.payload = payload
+        self.fresh_until = now + LEFT
         self.deadline = deadline
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
@@ -165,7 +168,7 @@
         self._rid = rid = (self._rid + 1) & 0xFFFFFFFF
         now = now_ns()
         ttl = max(asked.ttl_ns - MARGIN, asked.ttl_ns // 2)
-        request = Request(rid, exchange, asked.payload, now + ttl)
+        request = Request(rid, exchange, asked.payload, now, now + ttl)
         self._requests[rid] = request
         self._bytes += size
         self._timers.at(now + max(asked.ttl_ns - LAST_CALL, asked.ttl_ns * 3 // 4), self._last_call, request)
@@ -189,16 +192,21 @@
         request.closing = True
         if not request.out:
             self._give_up(request)
-        elif not self._written(request):
-            self._timers.after(LEFT, self._left, request)
+        elif not self._begun(request):
+            self._timers.at(request.fresh_until, self._left, request)
 
     def _left(self, request: Request) -> None:
-        if request.exchange is not None and not self._written(request):
+        if request.exchange is not None and not self._begun(request):
             self._give_up(request)
 
     @staticmethod
-    def _written(request: Request) -> bool:
-        return any(attempt.conn is not None and attempt.conn.written() for attempt in request.out.values())
+    def _begun(request: Request) -> bool:
+        return any(attempt.conn is not None and attempt.conn.up() for attempt in request.out.values())
+
+    @staticmethod
+    def _wanted(request: Request) -> bool:
+        """Whether an attempt may begin now; asked when its connection is up, however late that is read."""
+        return request.exchange is not None and (not request.closing or now_ns() < request.fresh_until)
 
     def held(self) -> list[Request]:
         """Requests in the table: those owed an answer, and those with attempts still out."""
@@ -276,7 +284,8 @@
         request.attempts += 1
         due = min(self._now + timeout_ns, request.deadline) if timeout_ns else request.deadline
         attempt = Attempt(host, number, request.payload, self._now, due,
-                          lambda attempt, outcome, answer: self._ended(request, attempt, outcome, answer))
+                          lambda attempt, outcome, answer: self._ended(request, attempt, outcome, answer),
+                          lambda: self._wanted(request))
         request.out[number] = attempt
         if request.exchange is None or request.closing or number >= self._settings.limits.max_attempts:
             attempt.end(Outcome.MOOT)   # never after the answer, nor for a client that may have gone
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -57,18 +57,23 @@
 
 
 class Attempt:
-    """One attempt at one host, or a probe.  `ended` is called once, with the answer if it was served."""
+    """One attempt at one host, or a probe.  `ended` is called once, with the answer if it was served.
 
-    __slots__ = ("conn", "due", "ended", "host", "load", "number", "over", "payload", "started")
+    `wanted` is asked when its connection has come up: whether it may still begin.
+    """
+
+    __slots__ = ("conn", "due", "ended", "host", "load", "number", "over", "payload", "started", "wanted")
 
     def __init__(self, host: HostId, number: int, payload: tuple[bytes, bytes], started: int, due: int,
-                 ended: Callable[[Attempt, Outcome, Answer | None], None]) -> None:
+                 ended: Callable[[Attempt, Outcome, Answer | None], None],
+                 wanted: Callable[[], bool] = lambda: True) -> None:
         self.host = host
         self.number = number
         self.payload = payload   # the head without its last lines, and the body
         self.started = started
         self.due = due
         self.ended = ended
+        self.wanted = wanted
         self.conn: Connection | None = None
         self.over = False
         self.load = b""   # the load report that came with the answer, as it was worded
@@ -136,6 +141,8 @@
         if attempt is None or attempt.over or self.incarnation != self.host.incarnation \
                 or not self.host.ready or now_ns() >= attempt.due:
             self.give_up(Outcome.CONNECT_FAILED)
+        elif not attempt.wanted():
+            self.give_up(Outcome.MOOT)
         else:
             self._write(attempt)
 
@@ -286,6 +293,10 @@
         """Whether the request's last byte is on the socket."""
         return self._written
 
+    def up(self) -> bool:
+        """Whether it has come up, with which its attempt begins."""
+        return self.transport is not None
+
     def _end_sending(self) -> None:
         """Guards against a second copy: the transport closes a turn later, a retry may be out before."""
         own = self.transport.get_extra_info("socket") if self.transport is not None else None
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -11,6 +11,7 @@
 import pytest
 
 from bridgesaddle.api import MS
+from gateway.timers import now_ns
 from tests.sockets import LAST, OK, SETTINGS, Client, FakeHost, Stage, play, request, until
 
 FULL = b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -138,3 +139,51 @@
             seen.reply()
             assert (await client.answer())[::2] == (200, b"done")
     play(scene)
+
+
+class ComesUp:
+    """A loop whose connections are up, but say so only when the test does."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.up: asyncio.Queue[tuple[asyncio.Protocol, asyncio.Transport]] = asyncio.Queue()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, make: Callable[[], asyncio.Protocol], *args: Any) -> None:
+        transport, _ = await self.loop.create_connection(asyncio.Protocol, *args)
+        self.up.put_nowait((make(), transport))
+
+    @staticmethod
+    def say(protocol: asyncio.Protocol, transport: asyncio.Transport) -> None:
+        """The connection is up."""
+        transport.set_protocol(protocol)
+        protocol.connection_made(transport)
+
+
+def move_clock(patch: pytest.MonkeyPatch) -> None:
+    """The loop stands still for a time."""
+    patch.setattr("gateway.core.now_ns", lambda: now_ns() + 150 * MS)
+
+
+@pytest.mark.parametrize("leave", [close, half_close])
+def test_a_connection_that_comes_up_soon_after_the_close_is_not_used(leave: Leave,
+                                                                     monkeypatch: pytest.MonkeyPatch) -> None:
+    """0.17 s after it three of four requests were sent on."""
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host, caps={**SETTINGS["caps"], "dial-timeout-ns": 5_000 * MS})
+            core = stage.gateway.core
+            late = ComesUp(asyncio.get_running_loop())
+            stage.gateway.upstream._loop = late   # type: ignore[assignment]
+            client = await stage.client()
+            client.send(request(rid="left"))
+            up = await late.up.get()
+            leave(client)
+            await until(lambda: all(held.closing for held in core.held()))
+            move_clock(monkeypatch)
+            late.say(*up)
+            assert not core.held() and up[1].is_closing()
+    play(scene)
