Nothing is sent for a client whose close lies unread in its socket

Cause: a timer's ring, a host's answer or a connection that comes up can be handled before the client's close is read (a loop that was held up), and a connection whose reading is paused is not seen to close at all. What was held for such a client was sent on, however long it had gone.

Change: as an attempt is sent and as its connection has come up, the client's socket is looked at (poll for RDHUP, which shows an end behind unread bytes too; a peek where a system tells of none). Nothing is lost: it is answered as failed.

Checked: close, half-close and reset, each before a ring of the module, a host's answer and a late connection, read and paused (eight requests at once): 18 cases, all fail without the mend. Not covered: a request read with its close behind it, after a loop that was held up.

--- a/gateway/core.py
+++ b/gateway/core.py
@@ -59,7 +59,10 @@
 
 
 class Exchange(Protocol):
-    """The client's side of a request: exactly one of these is called, once."""
+    """The client's side of a request: exactly one of the answers is called, once."""
+
+    def ended(self) -> bool:
+        """Whether the client has ended its sending or gone, read or unread; costs a system call."""
 
     def served(self, answer: Answer) -> None:
         """Pass on a host's answer."""
@@ -205,8 +208,14 @@
 
     @staticmethod
     def _wanted(request: Request) -> bool:
-        """Whether an attempt may begin now; asked when its connection is up, however late that is read."""
-        return request.exchange is not None and (not request.closing or now_ns() < request.fresh_until)
+        """Whether an attempt may begin now; asked as it is sent and as its connection has come up.
+
+        Guards against a close that is not read yet, as something else came first or reading is paused.
+        """
+        if request.exchange is None or now_ns() < request.fresh_until:
+            return request.exchange is not None
+        request.closing = request.closing or request.exchange.ended()
+        return not request.closing
 
     def held(self) -> list[Request]:
         """Requests in the table: those owed an answer, and those with attempts still out."""
@@ -287,7 +296,7 @@
                           lambda attempt, outcome, answer: self._ended(request, attempt, outcome, answer),
                           lambda: self._wanted(request))
         request.out[number] = attempt
-        if request.exchange is None or request.closing or number >= self._settings.limits.max_attempts:
+        if request.closing or not self._wanted(request) or number >= self._settings.limits.max_attempts:
             attempt.end(Outcome.MOOT)   # never after the answer, nor for a client that may have gone
             return
         self._timers.at(due, self._expire, attempt)
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import select
+import socket
 from collections import deque
 from typing import cast
 from zlib import crc32
@@ -174,6 +176,10 @@
         self.answer = b"%b\r\n%b" % (b"".join(lines), body)
         self.conn.flush()
 
+    def ended(self) -> bool:
+        """Whether the client has ended its sending or gone, read or unread."""
+        return self.conn.ended()
+
     def served(self, answer: Answer) -> None:
         """Pass on a host's answer, its body unchanged."""
         headers = [item for item in answer.headers
@@ -357,6 +363,18 @@
                 self.server.core.on_half_closed(exchange.request)
         return bool(self._exchanges)
 
+    def ended(self) -> bool:
+        """Whether the client has ended its sending or gone; looks at the socket, also behind unread bytes."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None or self.transport is None or self.transport.is_closing():
+            return True
+        if self._ended:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        events = poll.poll(0)
+        return bool(events) and (events[0][1] != select.POLLIN or _at_end(sock))
+
     def flush(self) -> None:
         """Write the answers that are ready, in the order of the requests."""
         transport = self.transport
@@ -429,6 +447,17 @@
             self.transport.close()
 
 
+def _at_end(own: socket.socket) -> bool:
+    """Guards against a system that tells of no RDHUP: nothing comes but the end, if nothing is before it."""
+    sock = socket.socket(own.family, own.type, own.proto, own.fileno())
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError as error:
+        return not isinstance(error, BlockingIOError)
+    finally:
+        sock.detach()   # it stays the transport's
+
+
 class Server:
     """All connections of clients."""
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -10,9 +11,11 @@
 
 import pytest
 
-from bridgesaddle.api import MS
+from bridgesaddle.api import MS, HostId, Outcome
+from gateway.server import PIPELINED
 from gateway.timers import now_ns
 from tests.sockets import LAST, OK, SETTINGS, Client, FakeHost, Stage, play, request, until
+from tests.test_server import Stub
 
 FULL = b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 QUICK: dict[str, Any] = {"request-classes": [{**item, "slo-ns": 2000 * MS}
@@ -141,6 +144,18 @@
     play(scene)
 
 
+class Waits(Stub):
+    """A module that holds its requests until the test has them sent on, and tries again at each outcome."""
+
+    def on_timer(self, now_ns: int, token: int) -> None:
+        self.actions.send(token, "h0", 0)
+
+    def on_outcome(self, now_ns: int, rid: int, attempt: int, host: HostId, outcome: Outcome, spent_ns: int,
+                   settled: bool, *args: Any) -> None:
+        if not settled:
+            self.actions.send(rid, "h0", 0)
+
+
 class ComesUp:
     """A loop whose connections are up, but say so only when the test does."""
 
@@ -162,11 +177,116 @@
         protocol.connection_made(transport)
 
 
+class Raw:
+    """A client's socket without a loop: what it does has happened when the call returns."""
+
+    def __init__(self, where: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(where)
+
+    def close(self) -> None:
+        self.sock.close()
+
+    def half_close(self) -> None:
+        self.sock.shutdown(socket.SHUT_WR)
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+
+unread = pytest.mark.parametrize("leave", [Raw.close, Raw.half_close, Raw.reset])
+"""The client leaves in a turn of the loop in which something else comes first."""
+crowded = pytest.mark.parametrize("count", [1, PIPELINED])
+"""With so many requests open its connection is read, or no longer."""
+LeaveRaw = Callable[[Raw], None]
+
+
+async def asked(stage: Stage, count: int) -> tuple[Raw, list[int]]:
+    """A client with so many requests held."""
+    client = Raw(stage.where)
+    client.sock.sendall(b"".join(request(rid=f"left{n}") for n in range(count)))
+    await until(lambda: len(stage.gateway.core.held()) == count)
+    return client, [held.rid for held in stage.gateway.core.held()]
+
+
 def move_clock(patch: pytest.MonkeyPatch) -> None:
     """The loop stands still for a time."""
     patch.setattr("gateway.core.now_ns", lambda: now_ns() + 150 * MS)
 
 
+@crowded
+@unread
+def test_what_rings_before_the_close_is_read_sends_nothing(leave: LeaveRaw, count: int,
+                                                           monkeypatch: pytest.MonkeyPatch) -> None:
+    """Gaps and waits for room end in the module, which sends as a timer rings or something else comes."""
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host, make=Waits)
+            core = stage.gateway.core
+            client, rids = await asked(stage, count)
+            leave(client)
+            move_clock(monkeypatch)
+            for rid in rids:
+                core._rung(rid)
+            assert not core.held()
+            assert not stage.gateway.upstream.opened
+            client.sock.close()
+    play(scene)
+
+
+@crowded
+@unread
+def test_an_answer_that_comes_before_the_close_is_read_sends_nothing(leave: LeaveRaw, count: int,
+                                                                     monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost(reply=None)
+            await stage.begin(host, make=Waits)
+            core = stage.gateway.core
+            client, rids = await asked(stage, count)
+            for rid in rids:
+                core._rung(rid)
+            for _ in rids:
+                await host.seen.get()
+            opened = stage.gateway.upstream.opened
+            leave(client)
+            move_clock(monkeypatch)
+            for held in core.held():
+                [conn] = [attempt.conn for attempt in held.out.values()]
+                assert conn is not None
+                conn.data_received(FULL)
+            assert not core.held()
+            assert stage.gateway.upstream.opened == opened and host.seen.empty()
+            client.sock.close()
+    play(scene)
+
+
+@crowded
+@unread
+def test_a_connection_that_comes_up_before_the_close_is_read_sends_nothing(
+        leave: LeaveRaw, count: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host, make=Waits, caps={**SETTINGS["caps"], "dial-timeout-ns": 5_000 * MS})
+            core = stage.gateway.core
+            late = ComesUp(asyncio.get_running_loop())
+            stage.gateway.upstream._loop = late   # type: ignore[assignment]
+            client, rids = await asked(stage, count)
+            for rid in rids:
+                core._rung(rid)
+            up = [await late.up.get() for _ in rids]
+            leave(client)
+            move_clock(monkeypatch)
+            for protocol, transport in up:
+                late.say(protocol, transport)
+            assert not core.held()
+            assert all(transport.is_closing() for _, transport in up)
+            client.sock.close()
+    play(scene)
+
+
 @pytest.mark.parametrize("leave", [close, half_close])
 def test_a_connection_that_comes_up_soon_after_the_close_is_not_used(leave: Leave,
                                                                      monkeypatch: pytest.MonkeyPatch) -> None:
@@ -187,3 +307,24 @@
             late.say(*up)
             assert not core.held() and up[1].is_closing()
     play(scene)
+
+
+@pytest.mark.parametrize("rdhup", [select.POLLRDHUP, 0])
+def test_a_close_is_told_from_unread_bytes(rdhup: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Also on a system that tells of no RDHUP, and the bytes stay to be read."""
+    monkeypatch.setattr("select.POLLRDHUP", rdhup)
+
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost(), make=Waits)
+            (client, rids), core = await asked(stage, PIPELINED), stage.gateway.core
+            [conn] = stage.gateway.server._connections
+            assert not conn.ended()
+            client.sock.sendall(request(rid="more"))
+            assert not conn.ended()
+            core._rung(rids[0])
+            await until(lambda: any(held.rid not in rids for held in core.held()))   # what was unread is taken
+            client.half_close()
+            assert conn.ended()
+            client.close()
+    play(scene)
