A client's close is noticed where its connection is not read

Cause: while reading is paused (eight requests at once, bytes after the last request, an error, a client that does not read) the loop tells of no end. What was held for such a client stayed held until an answer came, and a request that lay unread before the close was taken as a new one.

When a connection is read on after its client has ended its sending, what is still read is refused unsent: when the close came is not known.

A reset is left out of the last test: it takes what is unread along.

--- a/gateway/server.py
+++ b/gateway/server.py
@@ -208,6 +208,7 @@
         self.deaf = False       # framing is lost or the last request is in: what comes is thrown away
         self._ended = False      # the client has ended its sending
         self._paused = False
+        self.ended_unread = False   # the client's end came while nothing was read, who knows when
         self.since = now_ns()    # when what is being waited for began
         self.lingering = False
         self.surplus = False     # there was no room for it: its request is refused unsent
@@ -270,6 +271,7 @@
         if self._paused and self.transport is not None and not (
                 self.deaf or self._penalty or self._stuck_since or len(self._exchanges) >= PIPELINED):
             self._paused = False
+            self.ended_unread = self.ended()
             self.transport.resume_reading()
 
     def punish(self) -> None:
@@ -358,10 +360,13 @@
     def eof_received(self) -> bool:
         """The client has ended its sending; it may still read, so what it is owed is answered."""
         self._ended = self.deaf = True
+        self._half_close()
+        return bool(self._exchanges)
+
+    def _half_close(self) -> None:
         for exchange in list(self._exchanges):
             if exchange.answer is None and exchange.request is not None:
                 self.server.core.on_half_closed(exchange.request)
-        return bool(self._exchanges)
 
     def ended(self) -> bool:
         """Whether the client has ended its sending or gone; looks at the socket, also behind unread bytes."""
@@ -425,6 +430,8 @@
             return
         self._penalty = False
         self._resume()
+        if self._paused and self._exchanges and self.ended():
+            self._half_close()   # the loop tells of no end while nothing is read
         waited = now - self.since
         if self._stuck_since and now - self._stuck_since > SLOW:
             self.transport.abort()
@@ -546,6 +553,9 @@
         if exchange.conn.crowded:
             exchange.refused(0)   # nothing was sent for it: clients send one at a time
             return
+        if exchange.conn.ended_unread:
+            exchange.refused(0)   # nothing was sent for it, and its client may have gone long ago
+            return
         if exchange.conn.surplus:
             exchange.close = True
             exchange.refused(0)   # nothing was sent for it
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -15,7 +15,7 @@
 from gateway.server import PIPELINED
 from gateway.timers import now_ns
 from tests.sockets import LAST, OK, SETTINGS, Client, FakeHost, Stage, play, request, until
-from tests.test_server import Stub
+from tests.test_server import Sends, Stub
 
 FULL = b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 QUICK: dict[str, Any] = {"request-classes": [{**item, "slo-ns": 2000 * MS}
@@ -323,8 +323,67 @@
             client.sock.sendall(request(rid="more"))
             assert not conn.ended()
             core._rung(rids[0])
-            await until(lambda: any(held.rid not in rids for held in core.held()))   # what was unread is taken
+            await until(lambda: any(held.rid not in rids for held in core.held()))   # "more" is read, whole
             client.half_close()
             assert conn.ended()
             client.close()
     play(scene)
+
+
+@unread
+@pytest.mark.parametrize("more", [b"", request(rid="more")], ids=["bare", "behind-bytes"])
+def test_a_sweep_notices_a_close_on_a_connection_that_is_not_read(leave: LeaveRaw, more: bytes) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host, make=Waits)
+            client, _ = await asked(stage, PIPELINED)
+            client.sock.sendall(more)
+            leave(client)
+            stage.gateway.server.sweep(now_ns())
+            assert not stage.gateway.core.held()
+            client.sock.close()
+            await until(lambda: not stage.gateway.server.open)
+            assert host.seen.empty()
+    play(scene)
+
+
+@unread
+def test_a_sweep_notices_a_close_behind_what_is_thrown_away(leave: LeaveRaw) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost(), make=Waits)
+            client = Raw(stage.where)
+            client.sock.sendall(request(Connection="close"))
+            await until(lambda: len(stage.gateway.core.held()) == 1)
+            client.sock.sendall(b"more")
+            [conn] = stage.gateway.server._connections
+            await until(lambda: conn._paused)
+            leave(client)
+            stage.gateway.server.sweep(now_ns())
+            assert not stage.gateway.core.held()
+            client.sock.close()
+    play(scene)
+
+
+@pytest.mark.parametrize("leave", [Raw.close, Raw.half_close])   # a reset takes what is unread along
+def test_a_request_that_was_left_unread_with_the_close_behind_it_is_not_sent(leave: LeaveRaw) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host, make=Sends)
+            client = Raw(stage.where)
+            client.sock.sendall(request(rid=""))   # an error, after which nothing is read up to a sweep
+            await until(lambda: stage.gateway.server.open == 1)
+            [conn] = stage.gateway.server._connections
+            await until(lambda: conn._paused)
+            assert client.sock.recv(10_000).startswith(b"HTTP/1.1 400 ")   # or its close would be a reset
+            client.sock.sendall(request(rid="left"))
+            leave(client)
+            stage.gateway.server.sweep(now_ns())
+            await until(lambda: conn not in stage.gateway.server._connections)
+            if leave is Raw.half_close:
+                assert client.sock.makefile("rb").read().count(b"HTTP/1.1 503 ") == 1
+            await only_the_other_is_sent(stage, host)
+            client.sock.close()
+    play(scene)
