--- a/gateway/server.py
+++ b/gateway/server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import select
+import socket
 from collections import deque
 from typing import cast
 from zlib import crc32
@@ -176,6 +178,10 @@
         self.answer = b"%b\r\n%b" % (b"".join(lines), body)
         self.conn.flush()
 
+    def ended(self) -> bool:
+        """Whether the client has ended its sending or gone, read or unread."""
+        return self.conn.ended()
+
     def served(self, answer: Answer) -> None:
         """Pass on a host's answer, its body unchanged."""
         headers = [item for item in answer.headers
@@ -204,6 +210,7 @@
         self.deaf = False       # framing is lost or the last request is in: what comes is thrown away
         self._ended = False      # the client has ended its sending
         self._paused = False
+        self.ended_unread = False   # the client's end came while nothing was read, who knows when
         self.since = now_ns()    # when what is being waited for began
         self.lingering = False
         self.surplus = False     # there was no room for it: its request is refused unsent
@@ -266,6 +273,7 @@
         if self._paused and self.transport is not None and not (
                 self.deaf or self._penalty or self._stuck_since or len(self._exchanges) >= PIPELINED):
             self._paused = False
+            self.ended_unread = self.ended()
             self.transport.resume_reading()
 
     def punish(self) -> None:
@@ -354,10 +362,25 @@
     def eof_received(self) -> bool:
         """The client has ended its sending; it may still read, so what it is owed is answered."""
         self._ended = self.deaf = True
+        self._half_close()
+        return bool(self._exchanges)
+
+    def _half_close(self) -> None:
         for exchange in list(self._exchanges):
             if exchange.answer is None and exchange.request is not None:
                 self.server.core.on_half_closed(exchange.request)
-        return bool(self._exchanges)
+
+    def ended(self) -> bool:
+        """Whether the client has ended its sending or gone; looks at the socket, also behind unread bytes."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None or self.transport is None or self.transport.is_closing():
+            return True
+        if self._ended:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        events = poll.poll(0)
+        return bool(events) and (events[0][1] != select.POLLIN or _at_end(sock))
 
     def flush(self) -> None:
         """Write the answers that are ready, in the order of the requests."""
@@ -409,6 +432,8 @@
             return
         self._penalty = False
         self._resume()
+        if self._paused and self._exchanges and self.ended():
+            self._half_close()   # the loop tells of no end while nothing is read
         waited = now - self.since
         if self._stuck_since and now - self._stuck_since > SLOW:
             self.transport.abort()
@@ -441,6 +466,17 @@
             self.transport.close()
 
 
+def _at_end(own: socket.socket) -> bool:
+    """Guards against a system that tells of no RDHUP: nothing comes but the end, if nothing is before it."""
+    sock = socket.socket(own.family, own.type, own.proto, own.fileno())
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError as error:
+        return not isinstance(error, BlockingIOError)
+    finally:
+        sock.detach()   # it stays the transport's
+
+
 class Server:
     """All connections of clients."""
 
@@ -545,6 +581,9 @@
         if exchange.conn.crowded:
             exchange.refused(0)   # nothing was sent for it: clients send one at a time
             return
+        if exchange.conn.ended_unread:
+            exchange.refused(0)   # nothing was sent for it, and its client may have gone long ago
+            return
         if exchange.conn.surplus:
             exchange.close = True
             exchange.refused(0)   # nothing was sent for it
