--- a/scale/registry.py
+++ b/scale/registry.py
@@ -28,7 +28,7 @@
 
     calls_per_s: float = 200.0
     lines_per_call: float = 500.0
-    wait_s: float = 2.0
+    wait_s: float = 3.0
     """A call that has waited so long in the queue is answered 503."""
 
 
@@ -41,6 +41,12 @@
     """Calls that ended in 503 or a reset, those that came while discovery was down included."""
     whole_lists: int = 0
     bytes_written: int = 0
+    beat_bytes: int = 0
+    """Those of the empty lines; they come by the clock, whatever is told."""
+
+    def told_bytes(self) -> int:
+        """Bytes that were written because of a call or a change."""
+        return self.bytes_written - self.beat_bytes
 
 
 @dataclass(eq=False)
@@ -281,5 +287,7 @@
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(self._beat_s)
+            beat = _chunk(b"\n")
             for watch in self.watches:
-                watch.call.write(_chunk(b"\n"))
+                watch.call.write(beat)
+            self.counts.beat_bytes += len(beat) * len(self.watches)
