Measure discovery by the number of gateways, and settings by that of tenants

Nothing said what a change, a zone's loss or a restart of all costs the one discovery and its gateways, or what it takes to put a change of the settings in force. Two experiments more: hollow gateways spread over processes, and the program as it is started, with a tenant added to its file.

--- a/scale/experiments/__init__.py
+++ b/scale/experiments/__init__.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
-from . import hosts
+from . import gateways, hosts, settings
 
 
 class Experiment(NamedTuple):
@@ -20,5 +20,7 @@
 
 
 EXPERIMENTS = {
+    "gateways": Experiment(gateways.run, gateways.SIZES),
     "hosts": Experiment(hosts.run, hosts.SIZES),
+    "settings": Experiment(settings.run, settings.SIZES),
 }
--- a/scale/experiments/hosts.py
+++ b/scale/experiments/hosts.py
@@ -18,8 +18,8 @@
 async def run(size: int, seed: int, zones: int = 3, gateways: int = 20, changes: int = 5) -> dict[str, float]:
     """`size` hosts, and one hollow gateway, of so many, in a process of its own.
 
-    Times in ms are of that process's clock; the longest hold of its loop and the time until what was told is in
-    force are of the wall.  The figures of a change are means over `changes`, its hold is the longest.
+    Times in ms are of that process's clock; the longest hold of its loop and the time until what was told is
+    in force are of the wall.  The figures of a change are means over `changes`, its hold is the longest.
     """
     fleet = Fleet(size, zones, seed)
     registry = await Registry(fleet.rows.values(), AT_ONCE, generation=100).start()
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -47,8 +47,8 @@
     def take(self) -> dict[str, float]:
         """In ms: reading and parsing, applying to the sockets, the module, and the longest hold of the loop.
 
-        A hold is one stretch without a turn of the loop: the handling of one piece of what has come.  All count
-        from 0 again.
+        A hold is one stretch without a turn of the loop: the handling of one piece of what has come.  All
+        count from 0 again.
         """
         figures = {"parse_ms": (self.read_ns - self.sockets_ns - self.module_ns) / MS,
                    "sockets_ms": self.sockets_ns / MS, "module_ms": self.module_ns / MS,
--- a/scale/records.py
+++ b/scale/records.py
@@ -105,4 +105,6 @@
         beyond = line.at(BEYOND * line.largest)
         rows.append([name, f"{line.slope:.4g}", f"{line.slope_spread:.2g}", f"{line.intercept:.4g}",
                      f"{beyond.value:.4g}{' (extrapolated)' if beyond.extrapolated else ''}"])
+    if not rows:
+        return "no fit: it needs three runs, at two sizes"
     return tabulate(rows, ["figure", "a unit of size", "+-", "at 0", f"at {BEYOND} x the largest"])
