--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -45,6 +45,8 @@
     """Run an experiment over sizes, several times each."""
     chosen = EXPERIMENTS[experiment]
     options = _options(chosen, given)
+    if max(sizes, default=0) > chosen.largest:
+        raise click.BadParameter(f"the largest size of {experiment} is {chosen.largest}")
     try:
         out.parent.mkdir(parents=True, exist_ok=True)
         out.open("a").close()
--- a/scale/experiments/__init__.py
+++ b/scale/experiments/__init__.py
@@ -9,7 +9,7 @@
 
 
 class Experiment(NamedTuple):
-    """What runs it at one size, and the sizes by default.
+    """What runs it at one size, the sizes by default, and the largest that a machine is asked to bear.
 
     `run(size, seed, **options)` gives figures whose names end in their units; it may raise OSError (time-outs
     are such) or RuntimeError, and ends all that it began.
@@ -17,10 +17,11 @@
 
     run: Callable[..., Coroutine[Any, Any, dict[str, float]]]
     sizes: tuple[int, ...]
+    largest: int
 
 
 EXPERIMENTS = {
-    "gateways": Experiment(gateways.run, gateways.SIZES),
-    "hosts": Experiment(hosts.run, hosts.SIZES),
-    "settings": Experiment(settings.run, settings.SIZES),
+    "gateways": Experiment(gateways.run, gateways.SIZES, 1_000),
+    "hosts": Experiment(hosts.run, hosts.SIZES, 75_000),
+    "settings": Experiment(settings.run, settings.SIZES, 500_000),
 }
--- a/scale/registry.py
+++ b/scale/registry.py
@@ -106,12 +106,16 @@
         self._registry.counts.failures += 1
         self.write(_message(503))
 
-    def over(self) -> None:
-        """It waits no longer."""
-        self.waiting = False
+    def begin(self) -> None:
+        """Its turn has come: it is answered, however long that takes."""
         if self._expiry is not None:
             self._expiry.cancel()
 
+    def over(self) -> None:
+        """It waits no longer, as it is answered, reset or gone."""
+        self.waiting = False
+        self.begin()
+
     def write(self, data: bytes) -> None:
         """Hand it to the socket, and count it."""
         self._registry.counts.bytes_written += len(data)
@@ -245,6 +249,7 @@
             call = self._queue.popleft()
             if not call.waiting:
                 continue   # it has failed or gone
+            call.begin()
             _, lines = self._list(call.since)
             units = 1 + lines / self._capacity.lines_per_call
             free_s = max(free_s, call.begun_s) + units / self._capacity.calls_per_s
