End hollow gateways with their starter, also while they wait

A process of hollow gateways read its next command only after it had answered the last: one that waited for a list outlived a starter that was killed (seen once, as an orphan of a killed test). It reads on while it serves now and ends at the end of its input.

--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -261,8 +261,21 @@
     worker = Worker(config, numbers)
     reader = asyncio.StreamReader(limit=MAX_LINE)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
-    while line := await reader.readline():
-        print(json.dumps(await worker.answer(json.loads(line))), flush=True)
+    commands: asyncio.Queue[bytes] = asyncio.Queue()
+
+    async def read() -> None:
+        while line := await reader.readline():
+            commands.put_nowait(line)
+
+    async def serve() -> None:
+        while True:
+            print(json.dumps(await worker.answer(json.loads(await commands.get()))), flush=True)
+
+    # Guards against a process that waits for ever for what its starter, which is gone, no longer tells.
+    done, _ = await asyncio.wait([loop.create_task(read()), loop.create_task(serve())],
+                                 return_when=asyncio.FIRST_COMPLETED)
+    for task in done:
+        task.result()
 
 
 if __name__ == "__main__":
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -23,6 +23,7 @@
 from scale.experiments import EXPERIMENTS, Experiment, gateways, hosts, settings
 from scale.fleet import Fleet, Row, config
 from scale.fleet import settings as fleet_settings
+from scale.hollow import Workers
 from scale.records import append, fit, fits, table
 from scale.registry import Capacity, Registry
 from tests.sockets import play, until
@@ -306,6 +307,18 @@
     play(told)
 
 
+def test_hollow_gateways_end_with_their_starter_also_while_they_wait() -> None:
+    async def told() -> None:
+        async with Workers() as workers:
+            await workers.launch(config(a_fleet(), 1), 1)
+            [program] = workers._programs
+            assert program.stdin is not None
+            program.stdin.write(b'{"do": "await", "generation": 2}\n')   # nobody tells it
+            program.stdin.close()
+            assert await program.wait() == 0
+    play(told)
+
+
 def test_a_change_of_the_settings_is_in_force_after_a_restart() -> None:
     async def told() -> None:
         figures = await settings.run(20, 1)
@@ -347,10 +360,10 @@
 
 
 @pytest.mark.parametrize("words", [
-    [], ["odd"], ["hosts", "--size", "x"], ["hosts", "--size", "0"], ["hosts", "--size", "75001"],
-    ["hosts", "--plays", "0"], ["hosts", "--seed", "-1"], ["hosts", "--set", "odd=1"],
-    ["hosts", "--set", "zones=many"], ["hosts", "--out", "/dev/null/x"], ["hosts", "--odd"],
-    ["hosts", "--limit-s", "0"],
+    [], ["odd"], ["hosts", "--size", "x"], ["hosts", "--size", "0"],
+    ["hosts", "--size", "75001", "--plays", "1", "--limit-s", "1"], ["hosts", "--plays", "0"],
+    ["hosts", "--seed", "-1"], ["hosts", "--set", "odd=1"], ["hosts", "--set", "zones=many"],
+    ["hosts", "--out", "/dev/null/x"], ["hosts", "--odd"], ["hosts", "--limit-s", "0"],
 ])
 def test_bad_input_is_one_plain_line_and_status_2(words: list[str], monkeypatch: pytest.MonkeyPatch,
                                                   capsys: pytest.CaptureFixture[str]) -> None:
