--- a/scale/experiments/__init__.py
+++ b/scale/experiments/__init__.py
@@ -12,7 +12,7 @@
     """What runs it at one size, the sizes by default, and the largest that a machine is asked to bear.
 
     `run(size, seed, **options)` gives figures whose names end in their units; it may raise OSError (time-outs
-    are such) or RuntimeError, and ends all that it began.
+    are such), RuntimeError or ValueError, and ends all that it began.
     """
 
     run: Callable[..., Coroutine[Any, Any, dict[str, float]]]
--- a/scale/experiments/gateways.py
+++ b/scale/experiments/gateways.py
@@ -15,6 +15,8 @@
 
 SIZES = (20, 90, 240, 720)
 PROCESSES = 8
+MOST_SERVERS = 720 * 7_500
+"""Hosts over all gateways: each keeps its own books on each, some 1.5 kB."""
 SETTLED_S = 60.0
 """Longest wait until every gateway watches."""
 
@@ -27,7 +29,11 @@
     gateway, at 99 of 100 and at the last.  Then all are killed, a change is made, and all start at once from
     the list that they know: the calls, the failed ones, the bytes and the time until all are told.  The CPU
     of the gateways, and the longest hold of a loop, are of the processes that many of them share.
+
+    Raises ValueError for more gateways times hosts than MOST_SERVERS.
     """
+    if size * hosts > MOST_SERVERS:
+        raise ValueError(f"{size} gateways with {hosts} hosts each are more than {MOST_SERVERS} in all")
     fleet, capacity = Fleet(hosts, zones, seed), Capacity(calls_per_s=calls_per_s)
     registry = await Registry(fleet.rows.values(), capacity).start()
     try:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -304,6 +304,8 @@
             assert figures[f"{name}_p99_ms"] <= 1000 * figures[f"{name}_last_s"]
         assert (figures["restart_calls"], figures["restart_failed_calls"]) == (9, 0)
         assert figures["zone_bytes"] > 3 * figures["change_bytes"] > 0
+        with pytest.raises(ValueError):
+            await gateways.run(721, 1, hosts=7_500)   # more memory than is asked of a machine
     play(told)
 
 
