Measure what changes of the list add to requests through a real gateway

Cause: the experiments so far fold the list into gateways that carry no traffic; what a change costs the requests that run meanwhile was not measured.

--- a/scale/experiments/__init__.py
+++ b/scale/experiments/__init__.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
-from . import gateways, hosts, settings
+from . import gateways, hosts, latency, settings
 
 
 class Experiment(NamedTuple):
@@ -23,5 +23,6 @@
 EXPERIMENTS = {
     "gateways": Experiment(gateways.run, gateways.SIZES, 1_000),
     "hosts": Experiment(hosts.run, hosts.SIZES, 75_000),
+    "latency": Experiment(latency.run, latency.SIZES, 75_000),
     "settings": Experiment(settings.run, settings.SIZES, 500_000),
 }
