--- a/gateway/server.py
+++ b/gateway/server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import select
+import socket
 from collections import deque
 from typing import cast
 from zlib import crc32
@@ -27,6 +29,8 @@
 """Longest time for a request to arrive, and for a client to take its answer: 3 s are owed, less a sweep."""
 SPARE = 16
 """Connections above the bound that are still told, by a refusal, that there is no room."""
+STALLED = 500 * MS
+"""A connection whose first request is not whole so long after connecting makes room: good ones come whole."""
 IDLE = 2 * SECOND
 """A connection with nothing open is kept so long: many clients ask once and never close."""
 LINGER = 1 * SECOND
@@ -174,6 +178,10 @@
         self.answer = b"%b\r\n%b" % (b"".join(lines), body)
         self.conn.flush()
 
+    def ended(self) -> bool:
+        """Whether the client has ended its sending or gone, read or unread."""
+        return self.conn.ended()
+
     def served(self, answer: Answer) -> None:
         """Pass on a host's answer, its body unchanged."""
         headers = [item for item in answer.headers
@@ -202,6 +210,7 @@
         self.deaf = False       # framing is lost or the last request is in: what comes is thrown away
         self._ended = False      # the client has ended its sending
         self._paused = False
+        self.ended_unread = False   # the client's end came while nothing was read, who knows when
         self.since = now_ns()    # when what is being waited for began
         self.lingering = False
         self.surplus = False     # there was no room for it: its request is refused unsent
@@ -264,6 +273,7 @@
         if self._paused and self.transport is not None and not (
                 self.deaf or self._penalty or self._stuck_since or len(self._exchanges) >= PIPELINED):
             self._paused = False
+            self.ended_unread = self.ended()
             self.transport.resume_reading()
 
     def punish(self) -> None:
@@ -352,10 +362,25 @@
     def eof_received(self) -> bool:
         """The client has ended its sending; it may still read, so what it is owed is answered."""
         self._ended = self.deaf = True
+        self._half_close()
+        return bool(self._exchanges)
+
+    def _half_close(self) -> None:
         for exchange in list(self._exchanges):
             if exchange.answer is None and exchange.request is not None:
                 self.server.core.on_half_closed(exchange.request)
-        return bool(self._exchanges)
+
+    def ended(self) -> bool:
+        """Whether the client has ended its sending or gone; looks at the socket, also behind unread bytes."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None or self.transport is None or self.transport.is_closing():
+            return True
+        if self._ended:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        events = poll.poll(0)
+        return bool(events) and (events[0][1] != select.POLLIN or _at_end(sock))
 
     def flush(self) -> None:
         """Write the answers that are ready, in the order of the requests."""
@@ -407,6 +432,8 @@
             return
         self._penalty = False
         self._resume()
+        if self._paused and self._exchanges and self.ended():
+            self._half_close()   # the loop tells of no end while nothing is read
         waited = now - self.since
         if self._stuck_since and now - self._stuck_since > SLOW:
             self.transport.abort()
@@ -418,17 +445,38 @@
         elif self.between_requests() and waited > IDLE:
             self.transport.close()
 
+    def stalled(self, now: int) -> bool:
+        """Whether its first request has begun and the rest of it does not come."""
+        return (self._in_message and not self.asked and not self.deaf and now - self.since > STALLED
+                and self.transport is not None and not self.transport.is_closing())
+
     @property
     def crowded(self) -> bool:
         """Whether more requests are open on it than are worked on at once."""
         return len(self._exchanges) > PIPELINED
 
+    def close(self) -> None:
+        """Close at once, with nothing said."""
+        if self.transport is not None:
+            self.transport.close()
+
     def close_if_idle(self) -> None:
         """Close between requests."""
         if self.transport is not None and self.between_requests():
             self.transport.close()
 
 
+def _at_end(own: socket.socket) -> bool:
+    """Guards against a system that tells of no RDHUP: nothing comes but the end, if nothing is before it."""
+    sock = socket.socket(own.family, own.type, own.proto, own.fileno())
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError as error:
+        return not isinstance(error, BlockingIOError)
+    finally:
+        sock.detach()   # it stays the transport's
+
+
 class Server:
     """All connections of clients."""
 
@@ -452,22 +500,38 @@
         """Count a connection in; when there are too many, one on which nothing is open makes room.
 
         Those go first that have asked for nothing but the health or what can't be used, then those that never
-        sent anything: guards against a crowd that pushes out good ones.
+        sent anything, then those that sent a part of a request and stay: guards against a crowd that pushes
+        out good ones.
         """
         self._connections[conn] = None
-        if len(self._connections) > self.max_open:
-            for waiting in (self._strangers, self._mute, self._resting):
-                if waiting:
-                    other = next(iter(waiting))
-                    del waiting[other]
-                    other.close_if_idle()
-                    self._mute[conn] = None
-                    return
+        if len(self._connections) > self.max_open and not self._make_room():
             conn.surplus = True
             if len(self._connections) > self.max_open + SPARE and conn.transport is not None:
                 conn.transport.close()
         self._mute[conn] = None
 
+    def _make_room(self) -> bool:
+        """Close one connection that is of no use, or of the least; false where all are in use."""
+        for waiting in (self._strangers, self._mute):
+            if waiting:
+                self._close_first(waiting)
+                return True
+        now = now_ns()
+        for other in self._connections:   # the oldest first
+            if other.stalled(now):
+                other.close()
+                return True
+        if self._resting:
+            self._close_first(self._resting)
+            return True
+        return False
+
+    @staticmethod
+    def _close_first(waiting: dict[ClientConnection, None]) -> None:
+        other = next(iter(waiting))
+        del waiting[other]
+        other.close_if_idle()
+
     def heard(self, conn: ClientConnection) -> None:
         """Something has come on a connection."""
         self._mute.pop(conn, None)
@@ -517,6 +581,9 @@
         if exchange.conn.crowded:
             exchange.refused(0)   # nothing was sent for it: clients send one at a time
             return
+        if exchange.conn.ended_unread:
+            exchange.refused(0)   # nothing was sent for it, and its client may have gone long ago
+            return
         if exchange.conn.surplus:
             exchange.close = True
             exchange.refused(0)   # nothing was sent for it
