--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -10,9 +10,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from bisect import bisect_left, insort
+from collections.abc import Callable, Collection, Sequence
 from heapq import heapify, heappop, heappush
 from math import ceil, exp, inf
+from operator import attrgetter
 from random import Random
 from zlib import crc32
 
@@ -76,6 +78,7 @@
 PRESSED_ALL = 0.25   # and where all of it is
 BURST = 2            # seconds of a tenant's allowance that it may take at once,
 BURST_MORE = 4       # and so many requests: chance arrivals at a gateway that gets one in some seconds
+REBUILD = 8          # changes, as a part of the fleet, past which the lists are built anew in one go
 GOLDEN = 0.6180339887498949  # spreads any number of gateways evenly over a ring
 
 # Health.
@@ -138,8 +141,8 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("broken", "cell", "cold_at", "cold_credit", "cold_from", "cold_until", "full", "host",
-                 "inflight", "latency", "outstanding", "ratio", "reported", "silent", "state", "weight",
-                 "zone")
+                 "inflight", "latency", "listed", "outstanding", "place", "ratio", "reported", "silent",
+                 "state", "weight", "zone")
 
     def __init__(self, entry: HostEntry) -> None:
         self.host = entry.host
@@ -147,6 +150,8 @@
         self.cell = entry.cell
         self.weight = 1.0
         self.state = HostState.GONE
+        self.place = (crc32(repr(entry.host).encode()), repr(entry.host))   # on the ring
+        self.listed: tuple[int, int] | None = None   # the zone and cell in whose lists it stands
         self.cold_from = 0
         self.inflight = 0
         self.silent = 0    # of these, those that take no room
@@ -165,6 +170,20 @@
         self.cold_credit = 0.0
 
 
+_place = attrgetter("place")
+
+
+def _insert(servers: list[_Server], server: _Server) -> None:
+    insort(servers, server, key=_place)
+
+
+def _remove(servers: list[_Server], server: _Server) -> None:
+    at = bisect_left(servers, server.place, key=_place)
+    while servers[at] is not server:   # two ids may read the same
+        at += 1
+    del servers[at]
+
+
 class _Class:
     """What this gateway has seen of one class of requests."""
 
@@ -292,21 +311,18 @@
             self._ask_later(now)
             self._watching = False
             return
-        whole = kind is not ListKind.DELTA
-        seen = set()
-        for entry in entries:
-            self._learn(entry, now)
-            if whole:
-                seen.add(entry.host)
-        if whole:
-            for server in self._servers.values():
-                if server.host not in seen:
-                    server.state = HostState.GONE
+        changed = {entry.host: self._learn(entry, now) for entry in entries}
+        if kind is not ListKind.DELTA:
+            missing = [server for host, server in self._servers.items() if host not in changed]
+            for server in missing:
+                server.state = HostState.GONE
+                changed[server.host] = server
         # Guards against ids that are ever new.  What is out refers to its server by itself; one that comes
         # back is new, and cold if its start says so.
-        for host in [host for host, server in self._servers.items() if server.state is HostState.GONE]:
-            del self._servers[host]
-        self._index()
+        for host, server in changed.items():
+            if server.state is HostState.GONE:
+                del self._servers[host]
+        self._index(changed.values())
         self._release(now)
         if kind is ListKind.CACHED:
             self._missing_at = now
@@ -317,7 +333,7 @@
             self._missing = False
             self._ask_gap = 0.0
 
-    def _learn(self, entry: HostEntry, now: int) -> None:
+    def _learn(self, entry: HostEntry, now: int) -> _Server:
         server = self._servers.get(entry.host)
         if server is None:
             server = self._servers[entry.host] = _Server(entry)
@@ -330,21 +346,24 @@
             server.cold_from = entry.started_ns
             server.cold_until = entry.started_ns + self._set.rules.warm_within_ns
             server.cold_at, server.cold_credit = now, self._random()
+        return server
 
-    def _index(self) -> None:
-        """Rebuild the lists that placement draws from; done at news of the list, never at a request."""
-        for pool in self._ready:
-            pool.clear()
-        self._remote.clear()
-        self._cells.clear()
-        for server in self._servers.values():
-            if server.zone >= len(self._ready):
-                continue
-            if server.state is HostState.READY:
-                self._ready[server.zone].append(server)
-                self._cells.setdefault(server.cell, []).append(server)
-                if server.zone != self._set.zone:
-                    self._remote.append(server)
+    def _index(self, changed: Collection[_Server]) -> None:
+        """Bring the lists that placement draws from up to date; done at news of the list, never at a request.
+
+        They are kept in the order of the ring.  Guards against news that cost as much as the fleet is large:
+        some changes cost what they are, many at once a sort.
+        """
+        if REBUILD * len(changed) < len(self._servers):
+            for server in changed:
+                self._leave(server)
+                self._enter(server, _insert)
+        else:
+            for servers in (*self._ready, self._remote):
+                servers.clear()
+            self._cells.clear()
+            for server in sorted(self._servers.values(), key=_place):
+                self._enter(server, list.append)
         near = self._ready[self._set.zone]
         fair = self._fair = (len(near) + len(self._remote)) / self._set.replicas
         for side, servers in ((self._near, near), (self._far, self._remote)):
@@ -358,6 +377,26 @@
             if attempt.server.state is not HostState.READY:
                 self._discount(attempt)
 
+    def _enter(self, server: _Server, add: Callable[[list[_Server], _Server], None]) -> None:
+        ready = server.state is HostState.READY and server.zone < len(self._ready)
+        server.listed = (server.zone, server.cell) if ready else None
+        if ready:
+            add(self._ready[server.zone], server)
+            add(self._cells.setdefault(server.cell, []), server)
+            if server.zone != self._set.zone:
+                add(self._remote, server)
+
+    def _leave(self, server: _Server) -> None:
+        if server.listed is None:
+            return
+        zone, cell = server.listed
+        _remove(self._ready[zone], server)
+        _remove(self._cells[cell], server)
+        if not self._cells[cell]:
+            del self._cells[cell]
+        if zone != self._set.zone:
+            _remove(self._remote, server)
+
     def _resize(self, pool: _Pool) -> None:
         """A limit is for the servers that the pool has: it follows their number as soon as it is told.
 
@@ -958,9 +997,8 @@
         size = max(ARC_MIN, ceil(ARC * fair))
         if size >= len(servers):
             return list(servers)
-        ring = sorted(servers, key=lambda server: (crc32(repr(server.host).encode()), repr(server.host)))
-        start = int((self._set.me * GOLDEN) % 1.0 * len(ring))
-        return [ring[(start + step) % len(ring)] for step in range(size)]
+        start = int((self._set.me * GOLDEN) % 1.0 * len(servers))
+        return [servers[(start + step) % len(servers)] for step in range(size)]
 
     def _permitted(self, request: _Request) -> list[_Server]:
         """Where a retry may go: the near pool, or the group that drops repeats of what may have run."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -111,6 +111,40 @@
     assert (one.sends, one.ends, one.timers) == (two.sends, two.ends, two.timers)
 
 
+ROWS = st.tuples(st.integers(0, 29), st.sampled_from(HostState), st.integers(0, 2), st.integers(0, 3))
+NEWS = st.lists(st.tuples(st.sampled_from(["delta", "delta", "delta", "whole"]), st.lists(ROWS, max_size=6)),
+                max_size=12)
+
+
+@settings(max_examples=200)
+@given(NEWS)
+def test_the_lists_to_draw_from_follow_each_change(
+        news: list[tuple[str, list[tuple[int, HostState, int, int]]]]) -> None:
+    """After any changes they are those of a gateway that gets the whole list at once."""
+    told = some_settings(zones=3, replicas=4, me=1)
+    hosts = {f"h{n}": entry(f"h{n}", zone=n % 3, cell=n % 4) for n in range(30)}
+    gateway = Gateway(told, list(hosts.values()))
+    for what, rows in news:
+        changed = {f"h{n}": entry(f"h{n}", zone, cell, state) for n, state, zone, cell in rows}
+        hosts.update(changed)
+        if what == "whole":
+            hosts = {host: item for host, item in hosts.items() if host in changed or int(host[1:]) % 2}
+            gateway.list(ListKind.FULL, list(hosts.values()))
+        else:
+            gateway.list(ListKind.DELTA, list(changed.values()))
+        one, other = gateway.module, Gateway(told, list(hosts.values())).module
+        for mine, fresh in ((one._ready, other._ready), ([one._remote], [other._remote]),
+                            ([one._near.servers], [other._near.servers]),
+                            ([one._far.servers], [other._far.servers]),
+                            ([one._cells[cell] for cell in sorted(one._cells)],
+                             [other._cells[cell] for cell in sorted(other._cells)])):
+            assert [[server.host for server in servers] for servers in mine] \
+                == [[server.host for server in servers] for servers in fresh]
+        assert one._cells.keys() == other._cells.keys()
+        assert one._servers.keys() == {host for host, item in hosts.items()
+                                       if item.state is not HostState.GONE}
+
+
 def test_the_choke_point_keeps_each_rule_alone() -> None:
     """Placement offers lawful servers only; the choke point must not lean on that."""
     keyed = a_class(Effect.KEYED, Group.CELL, window_ns=400 * MS)
