--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -342,7 +342,7 @@
         for server in self._servers.values():
             if server.cold_from:
                 server.cold_until = server.cold_from + settings.rules.warm_within_ns
-        self._index()
+        self._index(())
         self._release(now)
 
     def on_tenants(self, now_ns: int, changes: Sequence[tuple[int, Tenant]]) -> None:
