--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import signal
 from collections.abc import Callable, Sequence
@@ -187,12 +186,16 @@
     async def run(file: File, host: FakeHost) -> None:
         gateway = file.stage.gateway
         client = await file.stage.client()
+
+        def compares() -> bool:
+            within = gateway._reloading and gateway._reloading.gi_yieldfrom
+            return within is not None and within.gi_code is Tenants.compare.__code__
         file.write(realms=[ACME, *({"name": f"t{number}"} for number in range(20_000))])
-        await asyncio.sleep(0)
+        await until(compares)
         client.send(request())
         (await host.seen.get()).reply()
         assert (await client.answer())[0] == 200
-        assert gateway._reloading is not None
+        assert compares()
         await file.done()
         assert len(gateway._tenants.slots) == 20_001
     scene(tmp_path, monkeypatch, run)
