--- a/scale/parsing.py
+++ b/scale/parsing.py
@@ -34,7 +34,8 @@
     end = own.memory_info().rss
     del balancer, tenants   # held until here
     return {"config_bytes": size, "tenants_bytes": tenants_bytes, "read_ms": read_ms,
-            "tenants_ms": tenants_ms, "balancer_ms": balancer_ms, "taken_mb": (end - start) / 2 ** 20, "rss_mb": end / 2 ** 20}
+            "tenants_ms": tenants_ms, "balancer_ms": balancer_ms, "taken_mb": (end - start) / 2 ** 20,
+            "rss_mb": end / 2 ** 20}
 
 
 def _timed(call: Callable[[], Made]) -> tuple[float, Made]:
