--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -30,7 +30,7 @@
     return options
 
 
-@click.command()
+@click.command(help=f"Run an experiment ({', '.join(sorted(EXPERIMENTS))}) over sizes, several times each.")
 @click.argument("experiment", metavar="EXPERIMENT", type=click.Choice(sorted(EXPERIMENTS)))
 @click.option("--size", "sizes", type=click.IntRange(min=1), multiple=True, help="One size; may be repeated.")
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
@@ -42,7 +42,7 @@
               help="A run that takes longer has failed.")
 def command(experiment: str, sizes: tuple[int, ...], seed: int, plays: int, out: Path, given: tuple[str, ...],
             limit_s: float) -> int:
-    """Run an experiment over sizes, several times each."""
+    """0 where all runs are whole, else 1."""
     chosen = EXPERIMENTS[experiment]
     options = _options(chosen, given)
     if max(sizes, default=0) > chosen.largest:
