--- a/tests/fleet.py
+++ b/scale/cold.py
@@ -1,13 +1,12 @@
 """Many gateways beside one cold server: what all of them send it, judged by books of their own.
 
 The judge counts sends alone, takes the least capacity of each window and shares no code with the module.
-`python -m tests.fleet SEEDS [WORDS]` measures every scene, or those with one of the words in their names: the
+`python -m scale.cold SEEDS [WORDS]` measures every scene, or those with one of the words in their names: the
 share of seeds on which the server falls, the worst window, the mean use of its budget.
 """
 
 from __future__ import annotations
 
-import sys
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
@@ -17,10 +16,23 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from bridgesaddle import Balancer
-from bridgesaddle.api import MS, SECOND, HostId, HostState, ListKind, Outcome, Rules, Settings
+import click
 
-from .gateway import a_class, entry, some_settings
+from bridgesaddle import Balancer
+from bridgesaddle.api import (
+    MS,
+    SECOND,
+    Effect,
+    HostEntry,
+    HostId,
+    HostState,
+    Limits,
+    ListKind,
+    Outcome,
+    RequestClass,
+    Rules,
+    Settings,
+)
 
 COLD = "cold"
 START = 100 * SECOND   # a moment near the clock's zero would pass for a start
@@ -186,10 +198,11 @@
             speed = scene.speed if cold else 1.0 if scene.speed == 1.0 else draw.choice((0.6, 1.0, 1.4))
             self.servers[name] = _Server(scene, speed, START if cold else None)
         fields = ("inflight",) if scene.reports else ()
-        kind = a_class(aim_ns=8 * scene.work_ns, deadline_ns=20 * scene.work_ns)
-        self.nodes = [_Node(self, some_settings(kind, zones=scene.zones, zone=me % scene.zones, me=me,
-                                                replicas=scene.gateways, rules=scene.rules,
-                                                report_fields=fields), draw.getrandbits(32))
+        kind = RequestClass("c", aim_ns=8 * scene.work_ns, deadline_ns=20 * scene.work_ns, effect=Effect.SAFE,
+                            late_worth=0.3)
+        self.nodes = [_Node(self, Settings(zones=scene.zones, zone=me % scene.zones, classes=(kind,),
+                                           limits=Limits(max_attempts=5), me=me, replicas=scene.gateways,
+                                           rules=scene.rules, report_fields=fields), draw.getrandbits(32))
                       for me in range(scene.gateways)]
         # Some see several times the mean.
         parts = [draw.choice((0.4, 0.6, 0.8, 1.0, 1.0, 1.3, 4.0)) for _ in self.nodes]
@@ -212,8 +225,9 @@
 
     def list(self, node: _Node, cold: bool, warm: bool = True) -> None:
         """The whole list, with or without the servers that start and with or without the others."""
-        told = [entry(name, zone=self.zone[name], started_ns=START if cold and name in self.starts else 0,
-                      weight=self.servers[name].speed if self.scene.told else 1.0, state=HostState.READY)
+        told = [HostEntry(name, self.zone[name], 0, 0, HostState.READY,
+                          self.servers[name].speed if self.scene.told else 1.0,
+                          START if cold and name in self.starts else 0)
                 for name in self.servers
                 if (cold or self.scene.replaced if name in self.starts else warm)]
         node.module.on_list(self.now, ListKind.FULL, told)
@@ -309,9 +323,11 @@
 )
 
 
-def main() -> None:
-    """Measure every scene."""
-    seeds, wanted = int(sys.argv[1]), sys.argv[2:]
+@click.command()
+@click.argument("seeds", type=click.IntRange(min=1))
+@click.argument("wanted", metavar="[WORDS]...", nargs=-1)
+def main(seeds: int, wanted: tuple[str, ...]) -> None:
+    """Measure every scene, or those with one of WORDS in their names, over so many seeds."""
     with Pool() as pool:
         for name, scene in scenes():
             if wanted and not any(word in name for word in wanted):
--- a/tests/test_fleet.py
+++ b/tests/test_cold.py
@@ -5,8 +5,7 @@
 import pytest
 
 from bridgesaddle.api import MS
-
-from .fleet import Fleet, Scene
+from scale.cold import Fleet, Scene
 
 
 @pytest.mark.parametrize(("gateways", "hosts"), [(2, 8), (8, 6), (20, 6), (30, 6), (200, 20)])
