--- a/gateway/settings.py
+++ b/gateway/settings.py
@@ -97,7 +97,8 @@
 
     def needs_restart(self, before: Config) -> list[str]:
         """Names of what differs from the configuration in force and can't change in place."""
-        return [name for name, value in self._fixed().items() if before._fixed()[name] != value]
+        old = before._fixed()
+        return [name for name, value in self._fixed().items() if old[name] != value]
 
     def _fixed(self) -> dict[str, Any]:
         told = self.settings
