--- a/scale/__init__.py
+++ b/scale/__init__.py
@@ -2,3 +2,8 @@
 
 It imports `gateway` and `bridgesaddle`, never the reverse; what it measures runs the project's own code.
 """
+
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+"""The project's root: the programs that are measured are started from it."""
--- a/scale/experiments/latency.py
+++ b/scale/experiments/latency.py
@@ -26,11 +26,11 @@
 
 import psutil
 
+from scale import ROOT
 from scale.fleet import Fleet, Row, config
 from scale.load import Sample, histogram
 from scale.registry import Registry
 
-ROOT = Path(__file__).parents[2]
 ZONES = 11
 LISTENERS = 256
 """Addresses that the stand-in hosts share, at most: each takes a descriptor."""
--- a/scale/experiments/settings.py
+++ b/scale/experiments/settings.py
@@ -19,11 +19,11 @@
 
 from bridgesaddle.api import MS, SECOND
 
+from .. import ROOT
 from ..fleet import Fleet, config
 from ..registry import Capacity, Registry
 
 SIZES = (500, 5_000, 15_000, 50_000)
-ROOT = Path(__file__).parent.parent.parent
 AT_ONCE = Capacity(calls_per_s=10_000.0, lines_per_call=1e9)
 OWED = 5 * SECOND
 """So soon a change has to be in force."""
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -30,7 +30,8 @@
 from gateway.timers import Timers, now_ns
 from gateway.upstream import Upstream
 
-ROOT = Path(__file__).parent.parent
+from . import ROOT
+
 SOCKETS = 400
 """Connections to hosts that each may hold; it opens none."""
 ANSWER_S = 90.0
--- a/scale/records.py
+++ b/scale/records.py
@@ -13,7 +13,8 @@
 import numpy as np
 from tabulate import tabulate
 
-ROOT = Path(__file__).parent.parent
+from . import ROOT
+
 BEYOND = 10
 """The fit is read at so many times the largest size that was run, and marked as extrapolated there."""
 
