Log: traces of requests that end abnormally, reasons, and a summary line a second

The module says why it ends a request (EndReason); what it decides is unchanged.

The test of idle crowds read the first 12 lines of the log as failures of discovery; it passes over the summary lines now and still asserts 12 failures.

--- a/bridgesaddle/api.py
+++ b/bridgesaddle/api.py
@@ -56,6 +56,20 @@
 """Outcomes that prove that the attempt did not run on the server."""
 
 
+class EndReason(Enum):
+    """Why a request was ended without an answer of a server; for logs and counts."""
+
+    NO_TIME = "no_time"              # too little time left for even a quick answer
+    OVER_SHARE = "over_share"        # beyond its tenant's share, while there is no room
+    QUEUE_TIMEOUT = "queue_timeout"  # waited for room as long as it may
+    RETRY_TIMEOUT = "retry_timeout"  # the next retry would come after its time
+    ATTEMPTS = "attempts"            # no attempt left
+    NO_REPEAT = "no_repeat"          # may have run, and may not run twice
+    REJECTED = "rejected"            # the server takes the request itself for wrong
+    DEADLINE = "deadline"            # its time is up
+    NOT_ALLOWED = "not_allowed"      # the rules forbid the attempt that was chosen
+
+
 class HostState(IntEnum):
     """What discovery says of a server."""
 
@@ -258,10 +272,10 @@
     def send(self, rid: int, host: HostId, timeout_ns: int) -> None:
         """Start an attempt; attempts of a request count from 0.  A time-out of 0: until the deadline."""
 
-    def fail(self, rid: int) -> None:
+    def fail(self, rid: int, reason: EndReason) -> None:
         """Final answer: failed, with no promise about the effect."""
 
-    def refuse(self, rid: int, retry_after_ns: int) -> None:
+    def refuse(self, rid: int, retry_after_ns: int, reason: EndReason) -> None:
         """Final answer: turned away, retrying is harmless.  0: no advice when."""
 
     def cancel(self, rid: int, attempt: int) -> None:
--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -23,6 +23,7 @@
     SECOND,
     Actions,
     Effect,
+    EndReason,
     Group,
     HostEntry,
     HostId,
@@ -634,7 +635,7 @@
         # Nobody passes those who are held.
         server = None if doomed or self._held_n else self._place(request, now)
         if doomed or (server is None and request.over):
-            self._end(request, now)
+            self._end(request, now, EndReason.NO_TIME if doomed else EndReason.OVER_SHARE)
         elif server is None:
             self._hold(request, now)
         else:
@@ -727,8 +728,11 @@
         self._due(request, now + gap, now)
 
     def _due(self, request: _Request, due: int, now: int) -> None:
-        if due >= request.deadline - self._set.tick_ns or request.attempts >= self._set.limits.max_attempts:
-            self._end(request, now)
+        if request.attempts >= self._set.limits.max_attempts:
+            self._end(request, now, EndReason.ATTEMPTS)
+            return
+        if due >= request.deadline - self._set.tick_ns:
+            self._end(request, now, EndReason.RETRY_TIMEOUT)
             return
         request.due = due
         if due <= now:
@@ -787,7 +791,7 @@
 
     def _send(self, request: _Request, server: _Server, now: int) -> None:
         if not self._may_send(request, server, now):
-            self._end(request, now)
+            self._end(request, now, EndReason.NOT_ALLOWED)
             return
         number = request.attempts
         request.attempts += 1
@@ -809,7 +813,7 @@
         if not timer and request.deadline - now > request.t1:
             self._wake(attempt, request.t1)
 
-    def _end(self, request: _Request, now: int) -> None:
+    def _end(self, request: _Request, now: int, reason: EndReason) -> None:
         """The one final answer, given once."""
         if request.done or request.streaming:
             return
@@ -818,9 +822,9 @@
             for number in request.live:
                 self._act.cancel(request.rid, number)
         if self._may_refuse(request):
-            self._act.refuse(request.rid, request.t1 if self._set.limits.retry_after else 0)
+            self._act.refuse(request.rid, request.t1 if self._set.limits.retry_after else 0, reason)
         else:
-            self._act.fail(request.rid)
+            self._act.fail(request.rid, reason)
 
     def _drop(self, request: _Request, missed: bool = True) -> None:
         request.done = True
@@ -881,10 +885,11 @@
             return
         if outcome is Outcome.REJECTED:
             self._drop(request, missed=False)
-            self._act.fail(request.rid)   # at once, and not refused: the same again would fare no better
+            # At once, and not refused: the same again would fare no better.
+            self._act.fail(request.rid, EndReason.REJECTED)
             return
         if request.cls.effect is Effect.UNSAFE and request.anchor is not None:
-            self._end(request, now)   # given up: it may have run, so that no retry is to come
+            self._end(request, now, EndReason.NO_REPEAT)   # it may have run, so that no retry is to come
             return
         gap = request.t1 << min(request.gaps, MAX_DOUBLINGS)
         request.gaps += 1
@@ -937,8 +942,10 @@
             self._overdue(request, now)
         elif request.done or request.streaming:
             return
-        elif now >= request.deadline - self._set.tick_ns or (request.held and now >= request.due):
-            self._end(request, now)
+        elif request.held and now >= request.due:
+            self._end(request, now, EndReason.QUEUE_TIMEOUT)
+        elif now >= request.deadline - self._set.tick_ns:
+            self._end(request, now, EndReason.DEADLINE)
         elif not request.live and not request.held and now >= request.due:
             self._retry(request, now)
 
@@ -1049,7 +1056,7 @@
             heappop(held)
             self._unhold(request)
             if server is None:
-                self._end(request, now)
+                self._end(request, now, EndReason.NO_TIME)
             else:
                 self._send(request, server, now)
 
--- a/bridgesaddle/wire.py
+++ b/bridgesaddle/wire.py
@@ -13,6 +13,7 @@
 
 from .api import (
     Effect,
+    EndReason,
     Goal,
     Group,
     HostEntry,
@@ -202,10 +203,10 @@
     def send(self, rid: int, host: HostId, timeout_ns: int) -> None:
         self._add(_O_SEND.pack(1, self._who, rid, host, timeout_ns))
 
-    def fail(self, rid: int) -> None:
+    def fail(self, rid: int, reason: EndReason) -> None:
         self._add(_O_DROP.pack(2, self._who, rid))
 
-    def refuse(self, rid: int, retry_after_ns: int) -> None:
+    def refuse(self, rid: int, retry_after_ns: int, reason: EndReason) -> None:
         self._add(_O_PUSH.pack(3, self._who, rid, retry_after_ns))
 
     def cancel(self, rid: int, attempt: int) -> None:
--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -48,7 +48,9 @@
 
 
 class _Sparing(logging.Filter):
-    """Lets so many lines a second through."""
+    """Lets so many lines a second through, and all those whose writers keep to a bound of their own."""
+
+    BOUNDED = ("gateway.stats", "gateway.trace")
 
     def __init__(self) -> None:
         super().__init__()
@@ -56,6 +58,8 @@
         self._count = 0
 
     def filter(self, record: logging.LogRecord) -> bool:
+        if record.name in self.BOUNDED:
+            return True
         if int(record.created) != self._second:
             self._second, self._count = int(record.created), 0
         self._count += 1
@@ -83,6 +87,7 @@
                                     not settings.ask_discovery, settings.rules.drain_grace_ns,
                                     self.core.on_list)
         self.core.attach(self.upstream, self.discovery)
+        self.timers.on_late = self.core.telemetry.lag
         self._tenants = Tenants(config.rows, settings.tenants)
         self.server = Server(self.core, settings, self._tenants.slots, int(free * CLIENTS))
         config.settings = replace(settings, tenants=())   # they have their own books from here on
@@ -127,6 +132,8 @@
         self.upstream.sweep(now)
         self.discovery.sweep(now)
         self.server.sweep(now)
+        self.core.telemetry.sweep(now, clients=self.server.open, held=len(self.core.held()),
+                                  hosts=self.upstream.open, listed=self.discovery.generation)
         self.timers.after(SWEEP, self._sweep, None)
 
     def reload(self) -> None:
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -13,10 +13,11 @@
 from typing import Any, Protocol
 
 from bridgesaddle import Balancer
-from bridgesaddle.api import MS, Actions, Decisions, HostId, ListKind, Outcome, Settings, Tenant
+from bridgesaddle.api import MS, Actions, Decisions, EndReason, HostId, ListKind, Outcome, Settings, Tenant
 
 from .discovery import Discovery, Listed
 from .peers import Peers
+from .telemetry import GatewayReason, Phase, Telemetry, Trace
 from .timers import Timers, now_ns
 from .upstream import Answer, Attempt, Upstream
 
@@ -77,6 +78,7 @@
 class Asked(Protocol):
     """What the client's side has read of a request."""
 
+    id: bytes
     cls: int
     tenant: int
     key: int
@@ -90,15 +92,17 @@
 class Request:
     """A request that is held; it stays in the table until its attempts have ended too."""
 
-    __slots__ = ("attempts", "closing", "deadline", "exchange", "fresh_until", "out", "payload", "rid")
+    __slots__ = ("attempts", "closing", "deadline", "exchange", "fresh_until", "out", "payload", "rid",
+                 "trace")
 
     def __init__(self, rid: int, exchange: Exchange, payload: tuple[bytes, bytes], now: int,
-                 deadline: int) -> None:
+                 deadline: int, trace: Trace) -> None:
         self.rid = rid
         self.exchange: Exchange | None = exchange   # None once the answer is given or the client has gone
         self.payload = payload
         self.fresh_until = now + LEFT
         self.deadline = deadline
+        self.trace = trace
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.closing = False   # the client has ended its sending: it may have gone
@@ -113,6 +117,7 @@
     def __init__(self, settings: Settings, salt: int, timers: Timers, columns: Sequence[str] = (),
                  make: Maker = Balancer, max_open: int = 1024, max_bytes: int = 64 << 20) -> None:
         self._settings = settings
+        self.telemetry = Telemetry()
         self._timers = timers
         self._events: deque[tuple[Callable[..., None], Request | None, tuple[Any, ...]]] = deque()
         self._busy = False
@@ -151,7 +156,7 @@
                 except Exception:
                     log.exception("the module has failed in %s", getattr(call, "__name__", call))
                     if request is not None:
-                        self._give_up(request)
+                        self._give_up(request, GatewayReason.MODULE_ERROR)
         finally:
             self._busy = False
 
@@ -166,12 +171,14 @@
         """Take in a client's request; None if there is no room and it has been refused unsent."""
         size = len(asked.payload[0]) + len(asked.payload[1])
         if len(self._requests) >= self._max_open or self._bytes + size > self._max_bytes:
+            self.telemetry.count("refused", GatewayReason.TABLE_FULL.value)
             exchange.refused(0)
             return None
         self._rid = rid = (self._rid + 1) & 0xFFFFFFFF
         now = now_ns()
         ttl = max(asked.ttl_ns - MARGIN, asked.ttl_ns // 2)
-        request = Request(rid, exchange, asked.payload, now, now + ttl)
+        self.telemetry.count("taken")
+        request = Request(rid, exchange, asked.payload, now, now + ttl, Trace(asked.id, asked.ttl_ns, now))
         self._requests[rid] = request
         self._bytes += size
         self._timers.at(now + max(asked.ttl_ns - LAST_CALL, asked.ttl_ns * 3 // 4), self._last_call, request)
@@ -183,6 +190,10 @@
         """The client has gone: its attempts are cancelled and nothing more is sent."""
         if request.exchange is not None:
             request.exchange = None
+            now = now_ns()
+            self.telemetry.count("client_gone", "overdue" if request.trace.overdue(now) else "")
+            request.trace.note(now, Phase.CLIENT_GONE)
+            self.telemetry.ended(request.trace, request.trace.overdue(now))
             self._event(self._module.on_gone, request, request.rid)
             self._finish(request)
 
@@ -193,14 +204,15 @@
         what is out, and nothing new is sent for it: what waits for its connection only if that is up at once.
         """
         request.closing = True
+        request.trace.note(now_ns(), Phase.HALF_CLOSED)
         if not request.out:
-            self._give_up(request)
+            self._give_up(request, GatewayReason.CLIENT_CLOSING)
         elif not self._begun(request):
             self._timers.at(request.fresh_until, self._left, request)
 
     def _left(self, request: Request) -> None:
         if request.exchange is not None and not self._begun(request):
-            self._give_up(request)
+            self._give_up(request, GatewayReason.CLIENT_CLOSING)
 
     @staticmethod
     def _begun(request: Request) -> bool:
@@ -224,19 +236,19 @@
     def fail_all(self) -> None:
         """The program must end now: what is still held is answered rather than lost."""
         for request in self.held():
-            self._give_up(request)
+            self._give_up(request, GatewayReason.SHUTDOWN)
 
     def _last_call(self, request: Request) -> None:
         """Guards against a module that is late: the client's time is nearly up."""
         if request.exchange is not None:
-            log.error("request %d has had no answer in its time", request.rid)
-            self._give_up(request)
+            self._give_up(request, GatewayReason.LAST_CALL)
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: Request, reason: GatewayReason) -> None:
         """Answer failed in the module's place, which can't vouch for a refusal, and have it forget."""
         exchange, request.exchange = request.exchange, None
         if exchange is not None:
             exchange.failed()
+            self._answered(request, "failed", reason.value, reason is not GatewayReason.CLIENT_CLOSING)
             self._event(self._module.on_gone, None, request.rid)
         self._finish(request)
 
@@ -246,6 +258,13 @@
             self.upstream.cancel(attempt)
         self._forget(request)
 
+    def _answered(self, request: Request, how: str, reason: str = "", abnormal: bool = False) -> None:
+        """Count the final answer of a request, and write the trace of one that ended abnormally."""
+        now = now_ns()
+        self.telemetry.count(how, reason)
+        request.trace.note(now, Phase.ANSWERED, f"{how}.{reason}" if reason else how)
+        self.telemetry.ended(request.trace, abnormal or request.trace.overdue(now))
+
     def _forget(self, request: Request) -> None:
         if request.exchange is None and not request.out:
             self._event(self._drop, None, request)   # after this event, which may still name it
@@ -259,6 +278,8 @@
     def _ended(self, request: Request, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         """An attempt has ended.  The first that is served answers its client on its own."""
         request.out.pop(attempt.number, None)
+        self.telemetry.count("attempt", outcome.name.lower())
+        request.trace.note(now_ns(), Phase.ATTEMPT_ENDED, outcome.name.lower())
         try:
             self._settle(request, answer)
         except Exception:   # guards against an attempt that the module would count as out for ever
@@ -271,15 +292,16 @@
         if settled:
             self._finish(request)
 
-    @staticmethod
-    def _settle(request: Request, answer: Answer | None) -> None:
+    def _settle(self, request: Request, answer: Answer | None) -> None:
         exchange = request.exchange
         if exchange is not None and answer is not None:
             request.exchange = None
             exchange.served(answer)
+            self._answered(request, "served")
         elif exchange is not None and request.closing and not request.out:
             request.exchange = None
             exchange.failed()
+            self._answered(request, "failed", GatewayReason.CLIENT_CLOSING.value)
 
     # ---- Actions -----------------------------------------------------------------------------------
 
@@ -296,6 +318,9 @@
                           lambda attempt, outcome, answer: self._ended(request, attempt, outcome, answer),
                           lambda: self._wanted(request))
         request.out[number] = attempt
+        request.trace.note(self._now, Phase.SENT, str(host))
+        if number:
+            self.telemetry.count("retry")
         if request.closing or not self._wanted(request) or number >= self._settings.limits.max_attempts:
             attempt.end(Outcome.MOOT)   # never after the answer, nor for a client that may have gone
             return
@@ -306,20 +331,22 @@
         if not attempt.over:
             self.upstream.expire(attempt)
 
-    def fail(self, rid: int) -> None:
+    def fail(self, rid: int, reason: EndReason) -> None:
         """Final answer: failed."""
         request = self._requests.get(rid)
         if request is not None and request.exchange is not None:
             exchange, request.exchange = request.exchange, None
             exchange.failed()
+            self._answered(request, "failed", reason.value)
             self._finish(request)
 
-    def refuse(self, rid: int, retry_after_ns: int) -> None:
+    def refuse(self, rid: int, retry_after_ns: int, reason: EndReason) -> None:
         """Final answer: refused, with advice where the module gives one."""
         request = self._requests.get(rid)
         if request is not None and request.exchange is not None:
             exchange, request.exchange = request.exchange, None
             exchange.refused(retry_after_ns)
+            self._answered(request, "refused", reason.value)
             self._finish(request)
 
     def cancel(self, rid: int, attempt: int) -> None:
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -15,6 +15,7 @@
 from bridgesaddle.api import MS, SECOND, Effect, Settings
 
 from .core import Core, Request
+from .telemetry import CloseReason, GatewayReason
 from .timers import now_ns
 from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, Answer, Header
 
@@ -218,6 +219,7 @@
         self._stuck_since = 0
         self.asked = False       # a request that passed the checks has come
         self._penalty = False    # what it sent was no request: the next is read at a sweep
+        self._close_reason = CloseReason.BY_CLIENT
         self._start()
 
     def _start(self) -> None:
@@ -235,6 +237,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone; what it was owed is owed no more."""
         self.server.left(self)
+        self.server.core.telemetry.count("closed", self._close_reason.value)
         del self._parser   # it refers back: guards against garbage that waits for the collector
         for exchange in self._exchanges:
             if exchange.answer is None:
@@ -248,6 +251,8 @@
             self._pause()   # guards against spending the time of others on throwing it away
             return
         self.server.heard(self)
+        assert self.transport is not None
+        self.server.core.telemetry.read(self.transport.get_extra_info("socket"))
         if not self._in_message and self.asked:   # the first is due soon after connecting
             self.since = now_ns()
         try:
@@ -398,7 +403,7 @@
         if transport is None or transport.is_closing():
             return
         if self._ended and not self._exchanges:
-            transport.close()
+            self.close(CloseReason.ENDED)
         else:
             if self.between_requests():
                 self.server.rests(self)
@@ -437,14 +442,16 @@
             self._half_close()   # the loop tells of no end while nothing is read
         waited = now - self.since
         if self._stuck_since and now - self._stuck_since > SLOW:
+            self._close_reason = CloseReason.SLOW_READER
             self.transport.abort()
         elif self.lingering:
             if waited > LINGER:
+                self._close_reason = CloseReason.LINGERED
                 self.transport.abort() if self._stuck_since else self.transport.close()
         elif self._in_message and not self.deaf and waited > SLOW:
             self._reject(BadRequest(408, "the request was too slow"))
         elif self.between_requests() and waited > IDLE:
-            self.transport.close()
+            self.close(CloseReason.IDLE)
 
     def stalled(self, now: int) -> bool:
         """Whether its first request has begun and the rest of it does not come."""
@@ -456,15 +463,16 @@
         """Whether more requests are open on it than are worked on at once."""
         return len(self._exchanges) > PIPELINED
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close at once, with nothing said."""
         if self.transport is not None:
+            self._close_reason = reason
             self.transport.close()
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self, reason: CloseReason) -> None:
         """Close between requests."""
-        if self.transport is not None and self.between_requests():
-            self.transport.close()
+        if self.between_requests():
+            self.close(reason)
 
 
 def _at_end(own: socket.socket) -> bool:
@@ -511,10 +519,11 @@
         out good ones.
         """
         self._connections[conn] = None
+        self.core.telemetry.count("accepted")
         if len(self._connections) > self.max_open and not self._make_room():
             conn.surplus = True
-            if len(self._connections) > self.max_open + SPARE and conn.transport is not None:
-                conn.transport.close()
+            if len(self._connections) > self.max_open + SPARE:
+                conn.close(CloseReason.OVER_BOUND)
         self._mute[conn] = None
 
     def _make_room(self) -> bool:
@@ -526,7 +535,7 @@
         now = now_ns()
         for other in self._connections:   # the oldest first
             if other.stalled(now):
-                other.close()
+                other.close(CloseReason.MAKE_ROOM)
                 return True
         if self._resting:
             self._close_first(self._resting)
@@ -537,7 +546,7 @@
     def _close_first(waiting: dict[ClientConnection, None]) -> None:
         other = next(iter(waiting))
         del waiting[other]
-        other.close_if_idle()
+        other.close_if_idle(CloseReason.MAKE_ROOM)
 
     def heard(self, conn: ClientConnection) -> None:
         """Something has come on a connection."""
@@ -578,6 +587,7 @@
         try:
             asked = self._checks.check(method, target, headers, body)
         except BadRequest as error:
+            self.core.telemetry.count("bad_request")
             exchange.conn.punish()
             exchange.respond(error.status, [], error.why.encode() + b"\n")
             return
@@ -585,21 +595,26 @@
             exchange.conn.punish()
             exchange.respond(400, [], b"a request with this id is open\n")
             return
-        if exchange.conn.crowded:
-            exchange.refused(0)   # nothing was sent for it: clients send one at a time
+        # Nothing has been sent for any of these.
+        if exchange.conn.crowded:   # clients send one at a time
+            self._refuse(exchange, GatewayReason.PIPELINE_FULL)
             return
-        if exchange.conn.ended_unread:
-            exchange.refused(0)   # nothing was sent for it, and its client may have gone long ago
+        if exchange.conn.ended_unread:   # its client may have gone long ago
+            self._refuse(exchange, GatewayReason.LATE_READ)
             return
         if exchange.conn.surplus:
             exchange.close = True
-            exchange.refused(0)   # nothing was sent for it
+            self._refuse(exchange, GatewayReason.NO_CONNECTION_SLOT)
             return
         exchange.conn.asked = True
         exchange.id = asked.id
         self._ids.add(asked.id)
         exchange.request = self.core.on_request(exchange, asked)
 
+    def _refuse(self, exchange: Exchange, reason: GatewayReason) -> None:
+        self.core.telemetry.count("refused", reason.value)
+        exchange.refused(0)
+
     def forget(self, request_id: bytes) -> None:
         """A request is over; its id may come again."""
         self._ids.discard(request_id)
@@ -618,7 +633,7 @@
         """
         self.stopping = True
         for conn in list(self._strangers):
-            conn.close_if_idle()
+            conn.close_if_idle(CloseReason.STOPPING)
 
     def depart(self) -> None:
         """Connections close between requests, and answers say so."""
@@ -628,7 +643,7 @@
     def close_idle(self) -> None:
         """Close the connections that owe nothing."""
         for conn in list(self._connections):
-            conn.close_if_idle()
+            conn.close_if_idle(CloseReason.STOPPING)
 
     @property
     def reading(self) -> int:
--- a/gateway/timers.py
+++ b/gateway/timers.py
@@ -23,6 +23,8 @@
         self._count = 0
         self._armed: asyncio.TimerHandle | None = None
         self._armed_for = 0
+        self.on_late: Callable[[int], None] | None = None
+        """Told how late each ring is, in ns."""
         self._caught_up = False   # the loop has had a turn since a late ring
 
     def after(self, delay_ns: int, call: Callable[[Any], None], argument: Any) -> None:
@@ -47,6 +49,8 @@
     def _ring(self) -> None:
         self._armed = None
         heap, now = self._heap, now_ns()
+        if self.on_late is not None:
+            self.on_late(now - self._armed_for)
         if now - self._armed_for > LATE and not self._caught_up:
             # Guards against time-outs of what was answered in time: the loop rings before it reads.
             self._caught_up = True
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -451,6 +451,11 @@
             conn.close()
         host.idle.clear()
 
+    @property
+    def open(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._open)
+
     def close_idle(self, host_id: HostId) -> None:
         """The module's `close`."""
         host = self._hosts.get(host_id)
--- a/scale/cold.py
+++ b/scale/cold.py
@@ -23,6 +23,7 @@
     MS,
     SECOND,
     Effect,
+    EndReason,
     HostEntry,
     HostId,
     HostState,
@@ -141,10 +142,10 @@
         now = self.fleet.now
         module.on_outcome(now, rid, number, host, outcome, max(1, now - at), settled, load)
 
-    def fail(self, rid: int) -> None:
+    def fail(self, rid: int, reason: EndReason) -> None:
         self.tries.pop(rid, None)
 
-    def refuse(self, rid: int, retry_after_ns: int) -> None:
+    def refuse(self, rid: int, retry_after_ns: int, reason: EndReason) -> None:
         self.tries.pop(rid, None)
 
     def cancel(self, rid: int, attempt: int) -> None:
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -14,6 +14,7 @@
     MS,
     SECOND,
     Effect,
+    EndReason,
     Group,
     HostEntry,
     HostId,
@@ -117,10 +118,10 @@
                 if not same or self.now > at + cls.window_ns:
                     self.broken.append("2: a keyed request leaves its group or its window")
 
-    def fail(self, rid: int) -> None:
+    def fail(self, rid: int, reason: EndReason) -> None:
         self._answer(rid, "fail")
 
-    def refuse(self, rid: int, retry_after_ns: int) -> None:
+    def refuse(self, rid: int, retry_after_ns: int, reason: EndReason) -> None:
         held = self.held[rid]
         whole = held.cls.effect is Effect.KEYED and held.cls.group is Group.ALL
         if held.sent and held.cls.effect is not Effect.SAFE and not whole and not held.over:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -244,8 +244,12 @@
         crowd = [asyncio.create_task(stay(where, turned_away)) for _ in range(100)]
         await turned_away.wait()
         assert program.stderr is not None
-        for _ in range(12):   # calls that fail for want of discovery only
+        failures = 0
+        while failures < 12:   # calls that fail for want of discovery only
             line = (await program.stderr.readline()).decode()
+            if " gateway.stats " in line:   # the summary of each second
+                continue
+            failures += 1
             assert "discovery: no connection" in line and f"Errno {errno.ECONNREFUSED}" in line
         await discovery.start(own)
         _, writer = await discovery.calls.get()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from bridgesaddle.api import MS, SECOND, Actions, HostId, Outcome, Settings
+from bridgesaddle.api import MS, SECOND, Actions, EndReason, HostId, Outcome, Settings
 from gateway.core import Loads
 from gateway.server import IDLE, PIPELINED, SLOW, STALLED, ClientConnection, Exchange
 from gateway.timers import now_ns
@@ -41,12 +41,12 @@
 
 class Refuses(Stub):
     def act(self, rid: int) -> None:
-        self.actions.refuse(rid, 1250 * MS)
+        self.actions.refuse(rid, 1250 * MS, EndReason.NO_TIME)
 
 
 class Fails(Stub):
     def act(self, rid: int) -> None:
-        self.actions.fail(rid)
+        self.actions.fail(rid, EndReason.NO_TIME)
 
 
 class Raises(Stub):
@@ -85,8 +85,8 @@
         self.depth += 1
         self.deepest = max(self.deepest, self.depth)
         self.actions.send(rid, "nowhere", 0)   # ends at once
-        self.actions.fail(rid)
-        self.actions.refuse(rid, 0)
+        self.actions.fail(rid, EndReason.NO_TIME)
+        self.actions.refuse(rid, 0, EndReason.NO_TIME)
         self.actions.send(rid, "h0", 0)
         self.depth -= 1
 
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,109 @@
+"""The log of the gateway: traces of requests that end abnormally, reasons, and the summary line."""
+
+from __future__ import annotations
+
+import re
+import socket
+
+import pytest
+
+from bridgesaddle.api import MS, SECOND
+from gateway.telemetry import TRACES_PER_SUMMARY, Phase, Telemetry, Trace
+
+from .sockets import FakeHost, Stage, play, request, until
+
+
+def _figures(line: str) -> dict[str, str]:
+    return dict(part.split("=") for part in line.split())
+
+
+@pytest.fixture(autouse=True)
+def _info(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
+
+
+def test_a_trace_names_the_request_and_each_step_with_its_time() -> None:
+    trace = Trace(b"9b1f", 100 * MS, SECOND)
+    trace.note(SECOND + 3 * MS, Phase.SENT, "h0")
+    trace.note(SECOND + 120 * MS, Phase.CLIENT_GONE)
+    assert trace.line() == "request id=9b1f ttl=100 read@0.0 sent:h0@3.0 client_gone@120.0"
+    assert trace.overdue(SECOND + 101 * MS)
+    assert not trace.overdue(SECOND + 99 * MS)
+
+
+def test_a_flood_of_failures_writes_a_bounded_number_of_lines(caplog: pytest.LogCaptureFixture) -> None:
+    telemetry = Telemetry()
+    for _ in range(5 * TRACES_PER_SUMMARY):
+        telemetry.ended(Trace(b"r", MS, 0), abnormal=True)
+    assert len(caplog.records) == TRACES_PER_SUMMARY
+    telemetry.sweep(SECOND)
+    assert _figures(caplog.messages[-1])["traces_dropped"] == str(4 * TRACES_PER_SUMMARY)
+
+
+def test_the_summary_has_counts_since_the_last_one(caplog: pytest.LogCaptureFixture) -> None:
+    telemetry = Telemetry()
+    telemetry.count("refused", "no_time")
+    telemetry.count("refused", "no_time")
+    telemetry.lag(12 * MS)
+    telemetry.sweep(SECOND, held=3)
+    telemetry.sweep(SECOND + SECOND // 2)
+    telemetry.sweep(2 * SECOND)
+    first, second = map(_figures, caplog.messages)
+    assert (first["refused.no_time"], first["lag_ms"], first["held"]) == ("2", "12", "3")
+    assert "refused.no_time" not in second
+    assert second["lag_ms"] == "0"
+
+
+def test_the_age_of_what_lay_unread_is_told(caplog: pytest.LogCaptureFixture) -> None:
+    telemetry = Telemetry()
+    ours, theirs = socket.socketpair()
+    telemetry.read(ours)   # no TCP: nothing is told
+    with socket.create_server(("127.0.0.1", 0)) as listener, \
+            socket.create_connection(listener.getsockname()) as client:
+        accepted, _ = listener.accept()
+        client.send(b"x")
+        age = 0
+        while age < 40:   # it grows until it is read
+            telemetry.read(accepted)
+            telemetry.sweep(0)
+            age = int(_figures(caplog.messages[-1])["unread_ms"])
+            telemetry = Telemetry()
+    for sock in (ours, theirs, accepted):
+        sock.close()
+
+
+def test_every_step_of_a_request_that_nobody_answered_is_in_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost(reply=None)
+            await stage.begin(host)
+            client = await stage.client()
+            client.send(request(rid="lost-one", X_Timeout_Ms="60"))
+            seen = await host.seen.get()
+            assert (await client.answer())[0] in (502, 503)
+            await seen.closed()
+            # The module ends it before its time: a bounded trace is kept for what is overdue only.
+            client.send(request(rid="left-one"))
+            await host.seen.get()
+            client.writer.close()
+            await until(lambda: not stage.gateway.core.held())
+
+    play(scene)
+    assert not [line for line in caplog.messages if "left-one" in line]
+
+
+def test_all_requests_are_traced_on_demand(caplog: pytest.LogCaptureFixture,
+                                           monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("EDGE_TRACE", "all")
+
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost())
+            client = await stage.client()
+            assert (await client.ask(request(rid="good-one")))[0] == 200
+
+    play(scene)
+    lines = [line for line in caplog.messages if "good-one" in line]
+    assert len(lines) == 1
+    assert re.fullmatch(r"request id=good-one ttl=6000 read@0\.0 sent:h0@\S+ ended:ok@\S+ "
+                        r"answered:served@\S+", lines[0])
