--- /dev/null
+++ b/tests/test_incidents.py
@@ -0,0 +1,101 @@
+"""Reproductions of incidents, on real processes over loopback; see docs/incidents/."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import statistics
+import struct
+import time
+from pathlib import Path
+
+import pytest
+
+from bridgesaddle.api import MS
+from gateway.server import PIPELINED
+from gateway.timers import now_ns
+from tests.sockets import Client, FakeDiscovery, FakeHost, Seen, Stage, play, request, until
+from tests.test_process import connect, launch, write_config
+from tests.test_server import Sends
+
+ROUNDS = 12
+SLOWER = 10
+"""A request that waits for nothing takes less than so many times as long as on a connection of its own."""
+UNKNOWN_PATH = b"GET /status HTTP/1.1\r\nHost: app.svc\r\n\r\n"
+NO_LENGTH = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\ndone"
+
+
+async def _seconds(client: Client, rid: str) -> float:
+    begun = time.monotonic()
+    assert (await client.ask(request(rid=rid)))[0] == 200
+    return time.monotonic() - begun
+
+
+def test_a_request_is_not_delayed_by_an_improper_one_before_it(tmp_path: Path) -> None:
+    """incident-1: clients share connections with those whose requests are turned away."""
+    async def scene() -> None:
+        host, discovery = await FakeHost().start(), await FakeDiscovery().start()
+        write_config(tmp_path / "c", discovery, host)
+        program, where = await launch(tmp_path / "c")
+        alone, shared = await connect(where), await connect(where)
+        usual, behind = [], []
+        for number in range(ROUNDS):
+            usual.append(await _seconds(alone, f"u{number}"))
+            assert (await shared.ask(UNKNOWN_PATH))[0] == 404
+            behind.append(await _seconds(shared, f"b{number}"))
+        program.send_signal(signal.SIGKILL)
+        await program.wait()
+        assert statistics.median(behind) < SLOWER * statistics.median(usual)
+    play(scene)
+
+
+@pytest.mark.parametrize("make_reset", [False, True], ids=["end", "reset"])
+def test_an_answer_without_a_length_ends_with_its_connection(make_reset: bool, tmp_path: Path) -> None:
+    """incident-2: none of 85 was passed on.  A reset is no end."""
+    async def scene() -> None:
+        host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
+        write_config(tmp_path / "c", discovery, host)
+        program, where = await launch(tmp_path / "c")
+        client = await connect(where)
+        client.send(request("once"))   # not sent again, so that the one answer decides
+        seen = await host.seen.get()
+        seen.reply(NO_LENGTH)
+        end(seen, make_reset)
+        status, _, body = await client.answer()
+        program.kill()
+        await program.wait()
+        assert (status, body) == ((502, b"failed\n") if make_reset else (200, b"done"))
+    play(scene)
+
+
+def end(seen: Seen, make_reset: bool) -> None:
+    """End a host's connection in order, or by a reset."""
+    if make_reset:
+        sock = seen.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        seen.writer.transport.abort()
+    else:
+        seen.writer.close()
+
+
+def test_a_request_that_lay_unread_past_its_time_is_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """incident-1: its time was counted from the reading, and hosts got it after its client had left."""
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost(reply=None)
+            await stage.begin(host, make=Sends)
+            client = await stage.client()
+            for number in range(PIPELINED):
+                client.send(request(rid=f"r{number}"))
+            seen = [await host.seen.get() for _ in range(PIPELINED)]
+            [conn] = stage.gateway.server._connections
+            await until(lambda: conn._paused)
+            client.send(request(rid="late", X_Timeout_Ms="100"))
+            for module in ("core", "server"):
+                monkeypatch.setattr(f"gateway.{module}.now_ns", lambda: now_ns() + 150 * MS)
+            for item in seen:
+                item.reply()
+            answers = [(await client.answer())[0] for _ in range(PIPELINED + 1)]
+            assert answers == [200] * PIPELINED + [503]
+            assert host.seen.empty()
+    play(scene)
