--- a/gateway/server.py
+++ b/gateway/server.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import logging
-import select
-import socket
 from collections import deque
 from typing import cast
 from zlib import crc32
@@ -15,6 +13,7 @@
 from bridgesaddle.api import MS, SECOND, Effect, Settings
 
 from .core import Core, Request
+from .sockets import look
 from .telemetry import CloseReason, GatewayReason
 from .timers import now_ns
 from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, Answer, Header
@@ -378,15 +377,7 @@
 
     def ended(self) -> bool:
         """Whether the client has ended its sending or gone; looks at the socket, also behind unread bytes."""
-        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
-        if sock is None or self.transport is None or self.transport.is_closing():
-            return True
-        if self._ended:
-            return True
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
-        events = poll.poll(0)
-        return bool(events) and (events[0][1] != select.POLLIN or _at_end(sock))
+        return self._ended or look(self.transport).ended
 
     def flush(self) -> None:
         """Write the answers that are ready, in the order of the requests."""
@@ -475,17 +466,6 @@
             self.close(reason)
 
 
-def _at_end(own: socket.socket) -> bool:
-    """Guards against a system that tells of no RDHUP: nothing comes but the end, if nothing is before it."""
-    sock = socket.socket(own.family, own.type, own.proto, own.fileno())
-    try:
-        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except OSError as error:
-        return not isinstance(error, BlockingIOError)
-    finally:
-        sock.detach()   # it stays the transport's
-
-
 class Server:
     """All connections of clients."""
 
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -8,8 +8,6 @@
 
 import asyncio
 import logging
-import select
-import socket
 from bisect import bisect_right
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, cast
@@ -19,6 +17,7 @@
 from bridgesaddle.api import MS, SECOND, HostId, HostState, Outcome
 
 from .discovery import Listed
+from .sockets import end_sending, look
 from .timers import Timers, now_ns
 
 log = logging.getLogger("gateway.upstream")
@@ -151,12 +150,7 @@
 
         Guards against taking what belongs to the last answer for the next one.
         """
-        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
-        if sock is None or self.transport is None or self.transport.is_closing():
-            return True
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return look(self.transport).readable
 
     def send(self, attempt: Attempt) -> None:
         """Write an attempt to a connection that stood idle."""
@@ -284,7 +278,7 @@
     def give_up(self, outcome: Outcome) -> None:
         """End the attempt and close; buffered bytes of it are thrown away, never sent later."""
         attempt, self.attempt = self.attempt, None
-        self._end_sending()
+        end_sending(self.transport)   # or a retry may be out before this one is
         self._close()
         if attempt is not None:
             attempt.end(outcome)
@@ -297,19 +291,6 @@
         """Whether it has come up, with which its attempt begins."""
         return self.transport is not None
 
-    def _end_sending(self) -> None:
-        """Guards against a second copy: the transport closes a turn later, a retry may be out before."""
-        own = self.transport.get_extra_info("socket") if self.transport is not None else None
-        if own is None or own.fileno() < 0:
-            return
-        sock = socket.socket(own.family, own.type, own.proto, own.fileno())
-        try:
-            sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass   # the host was first
-        finally:
-            sock.detach()   # it stays the transport's
-
     def _close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
