An improper request no longer stops the reading of the proper ones behind it

Proper requests of others who share that connection waited there, unknown to the gateway. Ruled out: CPU (21 to 62 ms a second), a held-up loop (others were served meanwhile), failed accepts (they went on).

Only a flood that fills the connection with improper requests still stops its reading.

--- a/gateway/server.py
+++ b/gateway/server.py
@@ -154,12 +154,13 @@
 class Exchange:
     """A request's place in the order of answers on its connection: the `Exchange` of core.py."""
 
-    __slots__ = ("answer", "close", "conn", "id", "request")
+    __slots__ = ("answer", "close", "conn", "deferred", "id", "request")
 
     def __init__(self, conn: ClientConnection, close: bool) -> None:
         self.conn = conn
         self.close = close
         self.answer: bytes | None = None
+        self.deferred = False   # the answer, and all behind it, waits for a sweep or for a proper request
         self.request: Request | None = None
         self.id = b""
 
@@ -217,7 +218,8 @@
         self.surplus = False     # there was no room for it: its request is refused unsent
         self._stuck_since = 0
         self.asked = False       # a request that passed the checks has come
-        self._penalty = False    # what it sent was no request: the next is read at a sweep
+        self._error_given = False   # an improper request has been answered since the last sweep
+        self._flooding = False      # more of them came at once than are answered in a sweep: read on then
         self._close_reason = CloseReason.BY_CLIENT
         self._start()
 
@@ -266,7 +268,7 @@
                 self._error = BadRequest(431, "a head too long")
         if self._error is not None and not self.deaf:
             self._reject(self._error)
-        if len(self._exchanges) >= PIPELINED or self._penalty:
+        if len(self._exchanges) >= PIPELINED or self._flooding:
             self._pause()
 
     def _pause(self) -> None:
@@ -276,14 +278,29 @@
 
     def _resume(self) -> None:
         if self._paused and self.transport is not None and not (
-                self.deaf or self._penalty or self._stuck_since or len(self._exchanges) >= PIPELINED):
+                self.deaf or self._flooding or self._stuck_since or len(self._exchanges) >= PIPELINED):
             self._paused = False
             self.ended_unread = self.ended()
             self.transport.resume_reading()
 
-    def punish(self) -> None:
-        """Guards against what is sent again as soon as it is turned away: read on at a sweep only."""
-        self._penalty = True
+    def defer_error(self, exchange: Exchange) -> None:
+        """Slow down a peer that sends improper requests as fast as they are answered.
+
+        One error is given at once between two sweeps, and the next waits for the sweep.  Reading goes on, as
+        a proper request may come on the same connection, behind the error or crossing it.  Only where so
+        many improper ones are sent without waiting that they fill it, no more is read up to the sweep.
+        """
+        exchange.deferred = self._error_given
+        self._error_given = True
+        if len(self._exchanges) > PIPELINED:
+            self._flooding = True
+            self.release_errors()
+
+    def release_errors(self) -> None:
+        """Give the errors that wait: a proper request has come behind them, or it is time."""
+        for exchange in self._exchanges:
+            exchange.deferred = False
+        self.flush()
 
     def _decline_upgrade(self) -> None:
         """Answered as if it had not been asked for; as the parser reads no further, the connection ends."""
@@ -382,7 +399,7 @@
     def flush(self) -> None:
         """Write the answers that are ready, in the order of the requests."""
         transport = self.transport
-        while self._exchanges and self._exchanges[0].answer is not None:
+        while self._exchanges and self._exchanges[0].answer is not None and not self._exchanges[0].deferred:
             exchange = self._exchanges.popleft()
             assert exchange.answer is not None
             if transport is None or transport.is_closing():
@@ -427,8 +444,8 @@
         """Guards against slow senders, slow readers and connections that are kept for nothing."""
         if self.transport is None:
             return
-        self._penalty = False
-        self._resume()
+        self._error_given = self._flooding = False
+        self.release_errors()
         if self._paused and self._exchanges and self.ended():
             self._half_close()   # the loop tells of no end while nothing is read
         waited = now - self.since
@@ -567,14 +584,16 @@
         try:
             asked = self._checks.check(method, target, headers, body)
         except BadRequest as error:
-            self.core.telemetry.count("bad_request")
-            exchange.conn.punish()
+            self.core.telemetry.count("improper", error.why.replace(" ", "_"))
+            exchange.conn.defer_error(exchange)
             exchange.respond(error.status, [], error.why.encode() + b"\n")
             return
         if asked.id in self._ids:   # guards against two copies of one id, each with attempts of its own
-            exchange.conn.punish()
+            self.core.telemetry.count("improper", "id_in_use")
+            exchange.conn.defer_error(exchange)
             exchange.respond(400, [], b"a request with this id is open\n")
             return
+        exchange.conn.release_errors()
         # Nothing has been sent for any of these.
         if exchange.conn.crowded:   # clients send one at a time
             self._refuse(exchange, GatewayReason.PIPELINE_FULL)
