A request's time runs from when it may have come, not from when it was read

The class: a wait before the clock starts. It has three sources, all served here: reading stopped by the gateway itself (a full pipeline, a client that does not read, a flood), a loop that was held up (the process stopped or out of CPU), and a close that is read together with its request.

A time-out of 0 ms is still answered 400, but at once: it is no flood.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -19,6 +19,7 @@
 
 from .core import Core, Maker
 from .discovery import Discovery, Lines
+from .loop_monitor import LoopMonitor
 from .peers import Peers
 from .server import Server
 from .settings import BadConfig, Config, Steps, Tenants
@@ -89,7 +90,9 @@
         self.core.attach(self.upstream, self.discovery)
         self.timers.on_late = self.core.telemetry.lag
         self._tenants = Tenants(config.rows, settings.tenants)
-        self.server = Server(self.core, settings, self._tenants.slots, int(free * CLIENTS))
+        monitor = LoopMonitor(loop, self.timers)
+        self.server = Server(self.core, settings, self._tenants.slots, int(free * CLIENTS),
+                             monitor.earliest_arrival)
         config.settings = replace(settings, tenants=())   # they have their own books from here on
         config.rows = []
         self._reloading: Steps | None = None
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -26,8 +26,8 @@
 MARGIN = 25 * MS
 """The module is told so much less time than the client has: the answer has a way to go."""
 LEFT = 50 * MS
-"""Nothing is begun for a client that has ended its sending once its request was read so long ago: 0.1 s after
-its close is allowed."""
+"""Nothing is begun for a client that has ended its sending once its request came so long ago: 0.1 s after its
+close is allowed."""
 LAST_CALL = 12 * MS
 """So long before the client's time is up, the gateway answers by itself if the module has not."""
 
@@ -95,12 +95,12 @@
     __slots__ = ("attempts", "closing", "deadline", "exchange", "fresh_until", "out", "payload", "rid",
                  "trace")
 
-    def __init__(self, rid: int, exchange: Exchange, payload: tuple[bytes, bytes], now: int,
+    def __init__(self, rid: int, exchange: Exchange, payload: tuple[bytes, bytes], arrived_ns: int,
                  deadline: int, trace: Trace) -> None:
         self.rid = rid
         self.exchange: Exchange | None = exchange   # None once the answer is given or the client has gone
         self.payload = payload
-        self.fresh_until = now + LEFT
+        self.fresh_until = arrived_ns + LEFT
         self.deadline = deadline
         self.trace = trace
         self.attempts = 0
@@ -167,21 +167,30 @@
             self.listed = self.listed or bool(listed)
         self._event(self._module.on_list, None, kind, [item.entry for item in listed])
 
-    def on_request(self, exchange: Exchange, asked: Asked) -> Request | None:
-        """Take in a client's request; None if there is no room and it has been refused unsent."""
+    def on_request(self, exchange: Exchange, asked: Asked, arrived_ns: int) -> Request | None:
+        """Take in a client's request; its time runs from `arrived_ns`, the earliest that it may have come.
+
+        None if its time is up or there is no room, and it has been refused unsent.
+        """
+        now = now_ns()
+        left = asked.ttl_ns - (now - arrived_ns)
+        if left <= 0:
+            self.telemetry.count("refused", GatewayReason.LATE_READ.value)
+            exchange.refused(0)
+            return None
         size = len(asked.payload[0]) + len(asked.payload[1])
         if len(self._requests) >= self._max_open or self._bytes + size > self._max_bytes:
             self.telemetry.count("refused", GatewayReason.TABLE_FULL.value)
             exchange.refused(0)
             return None
         self._rid = rid = (self._rid + 1) & 0xFFFFFFFF
-        now = now_ns()
-        ttl = max(asked.ttl_ns - MARGIN, asked.ttl_ns // 2)
+        ttl = max(left - MARGIN, left // 2)
         self.telemetry.count("taken")
-        request = Request(rid, exchange, asked.payload, now, now + ttl, Trace(asked.id, asked.ttl_ns, now))
+        trace = Trace(asked.id, asked.ttl_ns, arrived_ns, now)
+        request = Request(rid, exchange, asked.payload, arrived_ns, now + ttl, trace)
         self._requests[rid] = request
         self._bytes += size
-        self._timers.at(now + max(asked.ttl_ns - LAST_CALL, asked.ttl_ns * 3 // 4), self._last_call, request)
+        self._timers.at(now + max(left - LAST_CALL, left * 3 // 4), self._last_call, request)
         self._event(self._module.on_request, request, rid, asked.cls, asked.tenant, asked.key, ttl,
                     asked.hint_ns, asked.repeat, asked.write)
         return request
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections import deque
+from collections.abc import Callable
 from typing import cast
 from zlib import crc32
 
@@ -35,6 +36,8 @@
 """A connection with nothing open is kept so long: many clients ask once and never close."""
 LINGER = 1 * SECOND
 """How long what still arrives is thrown away after an error, so that the client can read it."""
+READ_SIZE = 64 * 1024
+"""A read of fewer bytes has emptied the socket: the loop reads more than that at once."""
 MAX_ID = 200
 READY = b"/health/ready"
 
@@ -115,10 +118,10 @@
         tenant = self._tenants.get(known.get(b"x-tenant-id", b""), -1 if self._tenants else 0)
         if tenant < 0:
             raise BadRequest(400, "the tenant is missing or unknown")
-        millis = _number(known.get(b"x-timeout-ms", b""))
-        if not millis:
+        millis = known.get(b"x-timeout-ms", b"")
+        if not millis.isdigit():
             raise BadRequest(400, "no usable time-out")
-        return Checked(cls, tenant, min(millis * MS, self._longest[cls]),
+        return Checked(cls, tenant, min(_number(millis) * MS, self._longest[cls]),
                        _payload(method, target, headers, body), known)
 
     @staticmethod
@@ -212,6 +215,8 @@
         self.deaf = False       # framing is lost or the last request is in: what comes is thrown away
         self._ended = False      # the client has ended its sending
         self._paused = False
+        self._unread_from = 0    # what is read next may have come since then, as nothing was read; 0 for now
+        self._arrived = 0        # the earliest time at which what is being read may have come
         self.ended_unread = False   # the client's end came while nothing was read, who knows when
         self.since = now_ns()    # when what is being waited for began
         self.lingering = False
@@ -252,10 +257,14 @@
             self._pause()   # guards against spending the time of others on throwing it away
             return
         self.server.heard(self)
+        now = now_ns()
+        self._arrived = min(self.server.earliest_arrival(now), self._unread_from or now)
+        if len(data) < READ_SIZE:
+            self._unread_from = 0   # all that lay there has been read
         assert self.transport is not None
         self.server.core.telemetry.read(self.transport.get_extra_info("socket"))
         if not self._in_message and self.asked:   # the first is due soon after connecting
-            self.since = now_ns()
+            self.since = now
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -274,13 +283,17 @@
     def _pause(self) -> None:
         if not self._paused and self.transport is not None:
             self._paused = True
+            self._unread_from = now_ns()
             self.transport.pause_reading()
 
     def _resume(self) -> None:
         if self._paused and self.transport is not None and not (
                 self.deaf or self._flooding or self._stuck_since or len(self._exchanges) >= PIPELINED):
             self._paused = False
-            self.ended_unread = self.ended()
+            waiting = look(self.transport)
+            if not waiting.readable:
+                self._unread_from = 0
+            self.ended_unread = self._ended or waiting.ended
             self.transport.resume_reading()
 
     def defer_error(self, exchange: Exchange) -> None:
@@ -372,7 +385,7 @@
         self._exchanges.append(exchange)
         try:
             self.server.take(exchange, self._parser.get_method(), self._target, self._headers,
-                             bytes(self._body))
+                             bytes(self._body), self._arrived)
         except Exception:   # guards against losing it in the parser, which would take it for bad framing
             log.exception("a request could not be taken")
             if exchange.answer is None:
@@ -486,8 +499,11 @@
 class Server:
     """All connections of clients."""
 
-    def __init__(self, core: Core, settings: Settings, tenants: dict[bytes, int], max_open: int) -> None:
+    def __init__(self, core: Core, settings: Settings, tenants: dict[bytes, int], max_open: int,
+                 earliest_arrival: Callable[[int], int]) -> None:
+        """`earliest_arrival` tells since when what is read at a time may have lain there, both in ns."""
         self.core = core
+        self.earliest_arrival = earliest_arrival
         self._tenants = tenants
         self._checks = Checks(settings, tenants)
         self.max_open = max_open
@@ -576,8 +592,8 @@
         return self.core.listed and not self.stopping
 
     def take(self, exchange: Exchange, method: bytes, target: bytes, headers: list[Header],
-             body: bytes) -> None:
-        """A whole request has come."""
+             body: bytes, arrived_ns: int) -> None:
+        """A whole request has come, no earlier than at `arrived_ns`."""
         if target.split(b"?", 1)[0] == READY and method == b"GET":
             exchange.respond(200 if self.ready else 503, [], b"ready\n" if self.ready else b"not ready\n")
             return
@@ -594,6 +610,10 @@
             exchange.respond(400, [], b"a request with this id is open\n")
             return
         exchange.conn.release_errors()
+        if not asked.ttl_ns:   # its client is owed an answer at once, however often it asks
+            self.core.telemetry.count("improper", "no_time_left")
+            exchange.respond(400, [], b"no time left\n")
+            return
         # Nothing has been sent for any of these.
         if exchange.conn.crowded:   # clients send one at a time
             self._refuse(exchange, GatewayReason.PIPELINE_FULL)
@@ -608,7 +628,7 @@
         exchange.conn.asked = True
         exchange.id = asked.id
         self._ids.add(asked.id)
-        exchange.request = self.core.on_request(exchange, asked)
+        exchange.request = self.core.on_request(exchange, asked, arrived_ns)
 
     def _refuse(self, exchange: Exchange, reason: GatewayReason) -> None:
         self.core.telemetry.count("refused", reason.value)
--- a/gateway/telemetry.py
+++ b/gateway/telemetry.py
@@ -82,12 +82,13 @@
 class Trace:
     """What happened to one request, for the log line of a request that ends abnormally."""
 
-    __slots__ = ("_steps", "client_id", "ttl_ns")
+    __slots__ = ("_arrived_ns", "_steps", "client_id", "ttl_ns")
 
-    def __init__(self, client_id: bytes, ttl_ns: int, now: int) -> None:
-        """`client_id` is the X-Request-ID, `ttl_ns` the client's time from the reading of the request."""
+    def __init__(self, client_id: bytes, ttl_ns: int, arrived_ns: int, now: int) -> None:
+        """`client_id` is the X-Request-ID, `ttl_ns` the client's time from the arrival of the request."""
         self.client_id = client_id
         self.ttl_ns = ttl_ns
+        self._arrived_ns = arrived_ns
         self._steps = [_Step(now, Phase.READ, "")]
 
     def note(self, now: int, phase: Phase, detail: str = "") -> None:
@@ -95,12 +96,12 @@
         self._steps.append(_Step(now, phase, detail))
 
     def overdue(self, now: int) -> bool:
-        """Whether the client's time, counted from the reading, is up."""
-        return now - self._steps[0].at > self.ttl_ns
+        """Whether the client's time is up."""
+        return now - self._arrived_ns > self.ttl_ns
 
     def line(self) -> str:
-        """The whole trace; times are milliseconds since the reading."""
-        begun = self._steps[0].at
+        """The whole trace; times are milliseconds since the arrival, as far as that is known."""
+        begun = self._arrived_ns
         steps = " ".join(f"{step.phase.value}{':' if step.detail else ''}{step.detail}"
                          f"@{(step.at - begun) / MS:.1f}" for step in self._steps)
         return f"request id={self.client_id.decode('ascii', 'replace')} ttl={self.ttl_ns // MS} {steps}"
