An answer without a length is whole when its host ends the connection in order

Cause: the parser reports no end for such an answer, as only the end of the connection is one (RFC 9112, 6.3), and the connection's end was taken for a break in every case. The end of the host's sending is told apart from a reset by the loop already (eof_received); it makes the answer whole now. A reset, a cut head, an interim answer alone, an unknown coding and a body past the limit stay spoilt.

--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -40,6 +40,8 @@
                         b"proxy-connection"))
 """Headers that concern one connection, or that the gateway words itself."""
 
+FRAMING = frozenset((b"content-length", b"transfer-encoding"))
+"""Headers that tell where a body ends; without one of them an answer ends with its connection."""
 LOAD = b"x-server-load"
 REJECTS = frozenset((400, 404))
 """A host answers so to what is wrong with the request; another host would say the same."""
@@ -191,7 +193,17 @@
         self._judge()
 
     def eof_received(self) -> None:
-        """The host has ended its sending; the transport closes, and connection_lost tells the rest."""
+        """The host has ended its sending in order: an answer without a length is whole with that.
+
+        The transport closes, and connection_lost tells the rest.  A reset does not come here.
+        """
+        if self._head_done and not self._status and not self._broken and not self._framed():
+            self._status = self._parser.get_status_code()
+            self._judge()
+
+    def _framed(self) -> bool:
+        """Whether the head of the answer tells where its body ends (RFC 9112, 6.3)."""
+        return any(name.lower() in FRAMING for name, _ in self._headers)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Broken: before the last byte was written it cannot have run, after that it may have."""
