White space behind a header's value is no part of it

The parser leaves white space behind a value (RFC 9110, 5.5, has it excluded): 'Content-Length: 4 ' was read as no number, so the answer was thrown away, though whole; a request worded so was answered 413, one whose class, tenant or time-out had a space behind it 400; 'X-Not-Processed: 1 ' was no full refusal, but an error that may have run.

Values are stripped where headers are collected, for clients and hosts.

--- a/gateway/server.py
+++ b/gateway/server.py
@@ -17,7 +17,7 @@
 from .sockets import look
 from .telemetry import CloseReason, GatewayReason
 from .timers import now_ns
-from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, Answer, Header
+from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, Answer, Header, field_value
 
 log = logging.getLogger("gateway.server")
 
@@ -343,7 +343,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count(len(name) + len(value or b"") + 4)
         if self._error is None and self._in_head:   # trailers could name another id, or hide a second length
-            self._headers.append((name, value or b""))
+            self._headers.append((name, field_value(value)))
 
     def _count(self, size: int) -> None:
         self._size += size
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -49,6 +49,11 @@
 Header = tuple[bytes, bytes]
 
 
+def field_value(text: bytes | None) -> bytes:
+    """A header's value without the white space about it (RFC 9110, 5.5), some of which the parser leaves."""
+    return text.strip(b" \t") if text else b""
+
+
 class Answer(NamedTuple):
     """A whole answer of a host."""
 
@@ -230,7 +235,7 @@
         if self._size > MAX_HEAD:
             self._broken = "a head too long"
         elif not self._head_done:   # trailers are no headers
-            self._headers.append((name, value or b""))
+            self._headers.append((name, field_value(value)))
 
     def on_headers_complete(self) -> None:
         self._head_done = True
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -258,6 +258,27 @@
     play(scene)
 
 
+@pytest.mark.parametrize("before", [b"", b" ", b"\t  "])
+@pytest.mark.parametrize("behind", [b"", b" ", b" \t"])
+def test_white_space_about_a_value_is_no_part_of_it(before: bytes, behind: bytes) -> None:
+    """It is allowed around every value, and a tenant with a space behind it was taken for another one."""
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host)
+            client = await stage.client()
+            head, _, body = KEYED.partition(b"\r\n\r\n")
+            line, *fields = head.split(b"\r\n")
+            worded = [b"%b:%b%b%b" % (name, before, value.strip(), behind)
+                      for name, _, value in (field.partition(b":") for field in fields)]
+            client.send(b"\r\n".join([line, *worded]) + b"\r\n\r\n" + body)
+            assert (await client.answer())[0] == 200
+            seen = await host.seen.get()
+            assert (seen.headers["x-request-id"], seen.headers["idempotency-key"]) == ("r1", "kr1")
+            assert seen.body == b"some body" and "x-hop" not in seen.headers
+    play(scene)
+
+
 def test_an_open_id_is_not_taken_twice() -> None:
     async def scene() -> None:
         async with Stage() as stage:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -107,6 +107,9 @@
     (OK, False, Outcome.OK),
     (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, False, Outcome.OK),
     (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", False, Outcome.OK),
+    (b"HTTP/1.1 200 OK\r\nContent-Length:4 \t \r\n\r\ndone", False, Outcome.OK),   # white space is no part
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: \tchunked \r\n\r\n4\r\ndone\r\n0\r\n\r\n", False, Outcome.OK),
+    (b"HTTP/1.1 503 No\r\nX-Not-Processed: 1 \r\nContent-Length: 0 \r\n\r\n", False, Outcome.FULL),
     (b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", False, Outcome.ERROR),
     (b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", False, Outcome.REJECTED),
     (b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", False, Outcome.REJECTED),
