accept that fails for want of descriptors no longer closes what waits to be accepted

Shown to be harmless: ECONNABORTED, ENOBUFS, ENOMEM, EPROTO, ENETUNREACH, EAGAIN and EINTR of accept (the library goes on), failed socket and connect calls (an attempt that never ran, a retry), EINTR of epoll, short and interrupted reads and writes, and connections that end with ETIMEDOUT, EHOSTUNREACH, ECONNRESET, EPIPE or ENOBUFS.

As connections were accepted one in a turn before, the loop monitor now asks for how long they may have waited: 60 that came up while the process stood are refused unsent (a test of a stopped process; fails without it). The log names connections, improper requests and unfinished ones.

Programs are ended with their test now.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -19,6 +19,7 @@
 
 from .core import Core, Maker
 from .discovery import Discovery, Lines
+from .listener import Listener
 from .loop_monitor import LoopMonitor
 from .peers import Peers
 from .server import Server
@@ -90,14 +91,13 @@
         self.core.attach(self.upstream, self.discovery)
         self.timers.on_late = self.core.telemetry.lag
         self._tenants = Tenants(config.rows, settings.tenants)
-        monitor = LoopMonitor(loop, self.timers)
         self.server = Server(self.core, settings, self._tenants.slots, int(free * CLIENTS),
-                             monitor.earliest_arrival)
+                             LoopMonitor(loop, self.timers))
         config.settings = replace(settings, tenants=())   # they have their own books from here on
         config.rows = []
         self._reloading: Steps | None = None
         self._applying = self._again = False
-        self._listener: asyncio.Server | None = None
+        self._listener = Listener(loop, self.timers, self.server.connection)
         self._done = asyncio.Event()
         self._stop_at = 0
         self._set_stay(settings)
@@ -110,15 +110,12 @@
         """Listen and begin to watch; returns the address."""
         self.discovery.known(self._config.known)
         self.discovery.start()
-        host, port = self._config.listen
-        self._listener = await self._loop.create_server(self.server.connection, host, port, backlog=1024,
-                                                        reuse_address=True)
+        name = self._listener.start(self._config.listen)
         if self._config.settings.limits.peers and self._config.peer_listen is not None:
             self.core.peers = Peers(self._config.peers, self._config.peers_all, self.core.on_peer)
             peers = self.core.peers
             await self._loop.create_datagram_endpoint(lambda: peers, self._config.peer_listen)
         self.timers.after(SWEEP, self._sweep, None)
-        name: tuple[str, int] = self._listener.sockets[0].getsockname()[:2]
         log.info("listening on %s:%d", *name)
         return name
 
@@ -205,8 +202,7 @@
         self.timers.after(CROSSING, self._stop_listening, None)
 
     def _stop_listening(self, _: None) -> None:
-        if self._listener is not None:
-            self._listener.close()
+        self._listener.close()
         self._leave(None)
 
     def _leave(self, _: None) -> None:
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -62,6 +62,10 @@
 class Exchange(Protocol):
     """The client's side of a request: exactly one of the answers is called, once."""
 
+    @property
+    def connection(self) -> int:
+        """The number of its connection, for the log."""
+
     def ended(self) -> bool:
         """Whether the client has ended its sending or gone, read or unread; costs a system call."""
 
@@ -186,7 +190,7 @@
         self._rid = rid = (self._rid + 1) & 0xFFFFFFFF
         ttl = max(left - MARGIN, left // 2)
         self.telemetry.count("taken")
-        trace = Trace(asked.id, asked.ttl_ns, arrived_ns, now)
+        trace = Trace(asked.id, exchange.connection, asked.ttl_ns, arrived_ns, now)
         request = Request(rid, exchange, asked.payload, arrived_ns, now + ttl, trace)
         self._requests[rid] = request
         self._bytes += size
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
 from typing import cast
 from zlib import crc32
 
@@ -14,6 +13,7 @@
 from bridgesaddle.api import MS, SECOND, Effect, Settings
 
 from .core import Core, Request
+from .loop_monitor import LoopMonitor
 from .sockets import look
 from .telemetry import CloseReason, GatewayReason
 from .timers import now_ns
@@ -183,6 +183,11 @@
         self.answer = b"%b\r\n%b" % (b"".join(lines), body)
         self.conn.flush()
 
+    @property
+    def connection(self) -> int:
+        """The number of its connection, for the log."""
+        return self.conn.number
+
     def ended(self) -> bool:
         """Whether the client has ended its sending or gone, read or unread."""
         return self.conn.ended()
@@ -208,6 +213,7 @@
 
     def __init__(self, server: Server) -> None:
         self.server = server
+        self.number = server.next_number()
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._exchanges: deque[Exchange] = deque()
@@ -238,12 +244,15 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)   # uvloop has its own kind
+        now = now_ns()
+        came_up = self.server.loop_monitor.earliest_connect(now)
+        self._unread_from = came_up if came_up < now else 0
         self.server.joined(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone; what it was owed is owed no more."""
         self.server.left(self)
-        self.server.core.telemetry.count("closed", self._close_reason.value)
+        self.server.core.telemetry.closed(self.number, self._close_reason, self._in_message)
         del self._parser   # it refers back: guards against garbage that waits for the collector
         for exchange in self._exchanges:
             if exchange.answer is None:
@@ -258,7 +267,7 @@
             return
         self.server.heard(self)
         now = now_ns()
-        self._arrived = min(self.server.earliest_arrival(now), self._unread_from or now)
+        self._arrived = min(self._unread_from or now, self.server.loop_monitor.earliest_arrival(now))
         if len(data) < READ_SIZE:
             self._unread_from = 0   # all that lay there has been read
         assert self.transport is not None
@@ -500,10 +509,9 @@
     """All connections of clients."""
 
     def __init__(self, core: Core, settings: Settings, tenants: dict[bytes, int], max_open: int,
-                 earliest_arrival: Callable[[int], int]) -> None:
-        """`earliest_arrival` tells since when what is read at a time may have lain there, both in ns."""
+                 loop_monitor: LoopMonitor) -> None:
         self.core = core
-        self.earliest_arrival = earliest_arrival
+        self.loop_monitor = loop_monitor
         self._tenants = tenants
         self._checks = Checks(settings, tenants)
         self.max_open = max_open
@@ -511,6 +519,7 @@
         self._mute: dict[ClientConnection, None] = {}      # nothing has come on these, oldest first
         self._resting: dict[ClientConnection, None] = {}   # these are between requests, longest first
         self._strangers: dict[ClientConnection, None] = {}   # so are these, and have asked for nothing of use
+        self._numbers = 0
         self._ids: set[bytes] = set()   # of the requests that are held
         self.stopping = False
         self.departing = False
@@ -600,18 +609,18 @@
         try:
             asked = self._checks.check(method, target, headers, body)
         except BadRequest as error:
-            self.core.telemetry.count("improper", error.why.replace(" ", "_"))
+            self._note_improper(exchange, headers, error.why)
             exchange.conn.defer_error(exchange)
             exchange.respond(error.status, [], error.why.encode() + b"\n")
             return
         if asked.id in self._ids:   # guards against two copies of one id, each with attempts of its own
-            self.core.telemetry.count("improper", "id_in_use")
+            self._note_improper(exchange, headers, "id in use")
             exchange.conn.defer_error(exchange)
             exchange.respond(400, [], b"a request with this id is open\n")
             return
         exchange.conn.release_errors()
         if not asked.ttl_ns:   # its client is owed an answer at once, however often it asks
-            self.core.telemetry.count("improper", "no_time_left")
+            self._note_improper(exchange, headers, "no time left")
             exchange.respond(400, [], b"no time left\n")
             return
         # Nothing has been sent for any of these.
@@ -630,6 +639,15 @@
         self._ids.add(asked.id)
         exchange.request = self.core.on_request(exchange, asked, arrived_ns)
 
+    def next_number(self) -> int:
+        """The number of a new connection, for the log."""
+        self._numbers += 1
+        return self._numbers
+
+    def _note_improper(self, exchange: Exchange, headers: list[Header], why: str) -> None:
+        client_id = next((value for name, value in headers if name.lower() == b"x-request-id"), b"")
+        self.core.telemetry.improper(exchange.conn.number, client_id, why.replace(" ", "_"))
+
     def _refuse(self, exchange: Exchange, reason: GatewayReason) -> None:
         self.core.telemetry.count("refused", reason.value)
         exchange.refused(0)
--- a/gateway/telemetry.py
+++ b/gateway/telemetry.py
@@ -82,11 +82,14 @@
 class Trace:
     """What happened to one request, for the log line of a request that ends abnormally."""
 
-    __slots__ = ("_arrived_ns", "_steps", "client_id", "ttl_ns")
+    __slots__ = ("_arrived_ns", "_steps", "client_id", "connection", "ttl_ns")
 
-    def __init__(self, client_id: bytes, ttl_ns: int, arrived_ns: int, now: int) -> None:
-        """`client_id` is the X-Request-ID, `ttl_ns` the client's time from the arrival of the request."""
+    def __init__(self, client_id: bytes, connection: int, ttl_ns: int, arrived_ns: int, now: int) -> None:
+        """`client_id` is the X-Request-ID, `connection` the number of the client's connection, `ttl_ns` the
+        client's time from the arrival of the request.
+        """
         self.client_id = client_id
+        self.connection = connection
         self.ttl_ns = ttl_ns
         self._arrived_ns = arrived_ns
         self._steps = [_Step(now, Phase.READ, "")]
@@ -104,7 +107,8 @@
         begun = self._arrived_ns
         steps = " ".join(f"{step.phase.value}{':' if step.detail else ''}{step.detail}"
                          f"@{(step.at - begun) / MS:.1f}" for step in self._steps)
-        return f"request id={self.client_id.decode('ascii', 'replace')} ttl={self.ttl_ns // MS} {steps}"
+        client_id = self.client_id.decode("ascii", "replace")
+        return f"request id={client_id} conn={self.connection} ttl={self.ttl_ns // MS} {steps}"
 
 
 class Telemetry:
@@ -146,6 +150,22 @@
         if self._traces <= TRACES_PER_SUMMARY or self._trace_all:
             trace_log.info("%s", trace.line())
 
+    def improper(self, connection: int, client_id: bytes, reason: str) -> None:
+        """A request has been answered with an error of the gateway's own."""
+        self.count("improper", reason)
+        if self._trace_all:
+            name = client_id.decode("ascii", "replace")
+            trace_log.info("improper id=%s conn=%d %s", name, connection, reason)
+
+    def closed(self, connection: int, reason: CloseReason, unfinished: bool) -> None:
+        """A client's connection is closed; `unfinished`: a part of a request had come on it."""
+        self.count("closed", reason.value)
+        if unfinished:
+            self.count("unfinished")
+        if self._trace_all:
+            state = " unfinished" if unfinished else ""
+            trace_log.info("closed conn=%d %s%s", connection, reason.value, state)
+
     def sweep(self, now: int, **gauges: int) -> None:
         """Write the summary line if it is due; `gauges` are present values, such as open connections."""
         if now < self._due:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -33,6 +34,14 @@
     return known
 
 
+@pytest.fixture(autouse=True)
+def _no_program_is_left() -> Iterator[None]:
+    """A test that fails leaves no gateway running."""
+    yield
+    from tests.test_process import end_launched
+    end_launched()
+
+
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Mark what is listed; a list that is too long or names a test that isn't there is an error."""
     known = _known_red()
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -61,6 +61,22 @@
     play(scene)
 
 
+def test_many_that_waited_to_be_accepted_are_not_sent_on(tmp_path: Path) -> None:
+    """They are accepted some at a time, over several turns of the loop."""
+    async def scene() -> None:
+        async with gateway(tmp_path / "c") as (program, host, _, where):
+            program.send_signal(signal.SIGSTOP)
+            await stopped(program.pid)
+            crowd = [await connect(where) for _ in range(60)]
+            for number, waiting in enumerate(crowd):
+                waiting.send(request(rid=f"old{number}", X_Timeout_Ms=str(SHORT_MS)))
+            await asyncio.sleep(PAUSE_S)
+            program.send_signal(signal.SIGCONT)
+            assert [(await waiting.answer())[0] for waiting in crowd] == [503] * 60
+            assert host.seen.empty()
+    play(scene)
+
+
 def test_a_host_is_told_what_is_left_after_a_pause(tmp_path: Path) -> None:
     async def scene() -> None:
         async with gateway(tmp_path / "c") as (program, host, client, _):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -23,6 +24,18 @@
 READY = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
+_launched: list[asyncio.subprocess.Process] = []
+
+
+def end_launched() -> None:
+    """End the programs that a test has left behind: on ports that others get they would disturb those."""
+    for program in _launched:
+        if program.returncode is None:
+            with suppress(ProcessLookupError):
+                os.kill(program.pid, signal.SIGKILL)
+    _launched.clear()
+
+
 def write_config(path: Path, discovery: FakeDiscovery, *hosts: FakeHost) -> dict[str, Any]:
     config = {"listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "7", "settings": SETTINGS,
               "known": {"generation": 41, "reset": True, "instances": [host.row() for host in hosts]}}
@@ -39,6 +52,7 @@
     program = await asyncio.create_subprocess_exec(
         *COMMAND, cwd=ROOT, stderr=asyncio.subprocess.PIPE, preexec_fn=limit,
         env={**os.environ, "EDGE_CONFIG": str(path), **more})
+    _launched.append(program)
     assert program.stderr is not None
     while True:
         line = (await program.stderr.readline()).decode()
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -23,10 +23,10 @@
 
 
 def test_a_trace_names_the_request_and_each_step_with_its_time() -> None:
-    trace = Trace(b"9b1f", 100 * MS, SECOND, SECOND)
+    trace = Trace(b"9b1f", 7, 100 * MS, SECOND, SECOND)
     trace.note(SECOND + 3 * MS, Phase.SENT, "h0")
     trace.note(SECOND + 120 * MS, Phase.CLIENT_GONE)
-    assert trace.line() == "request id=9b1f ttl=100 read@0.0 sent:h0@3.0 client_gone@120.0"
+    assert trace.line() == "request id=9b1f conn=7 ttl=100 read@0.0 sent:h0@3.0 client_gone@120.0"
     assert trace.overdue(SECOND + 101 * MS)
     assert not trace.overdue(SECOND + 99 * MS)
 
@@ -34,7 +34,7 @@
 def test_a_flood_of_failures_writes_a_bounded_number_of_lines(caplog: pytest.LogCaptureFixture) -> None:
     telemetry = Telemetry()
     for _ in range(5 * TRACES_PER_SUMMARY):
-        telemetry.ended(Trace(b"r", MS, 0, 0), abnormal=True)
+        telemetry.ended(Trace(b"r", 1, MS, 0, 0), abnormal=True)
     assert len(caplog.records) == TRACES_PER_SUMMARY
     telemetry.sweep(SECOND)
     assert _figures(caplog.messages[-1])["traces_dropped"] == str(4 * TRACES_PER_SUMMARY)
@@ -101,9 +101,15 @@
             await stage.begin(FakeHost())
             client = await stage.client()
             assert (await client.ask(request(rid="good-one")))[0] == 200
+            assert (await client.ask(request(rid="bad-one", drop="X-Tenant-Id")))[0] == 400
+            client.send(b"GET /half")
+            client.writer.close()
+            await until(lambda: not stage.gateway.server.open)
 
     play(scene)
+    assert "improper id=bad-one conn=1 the_tenant_is_missing_or_unknown" in caplog.messages
+    assert "closed conn=1 by_client unfinished" in caplog.messages
     lines = [line for line in caplog.messages if "good-one" in line]
     assert len(lines) == 1
-    assert re.fullmatch(r"request id=good-one ttl=6000 read@\S+ sent:h0@\S+ ended:ok@\S+ "
+    assert re.fullmatch(r"request id=good-one conn=1 ttl=6000 read@\S+ sent:h0@\S+ ended:ok@\S+ "
                         r"answered:served@\S+", lines[0])
