Hosts' ages no longer hang on the gateway's wall clock

The gateway read its offset from the monotonic clock once, as it started: after a step forward before that, a host that had just started looked an hour old and got no slow start; after a step back all hosts looked cold for an hour.

bridgesaddle/start_times.py places starts on the monotonic clock from the order of things alone: a start lies before its news, so the latest stamp told bounds Unix time from below. Ages by that bound are never too high. In the first list the freshest start counts as of now; news that was late by less than the latest one before it is placed exactly. Stamps of a host whose own clock is wrong move no other host. The log's bound on lines counts monotonic seconds.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -9,13 +9,12 @@
 import resource
 import signal
 import sys
-import time
 from dataclasses import replace
 
 import uvloop
 
 from bridgesaddle import Balancer
-from bridgesaddle.api import MS, Settings
+from bridgesaddle.api import MS, SECOND, Settings
 
 from .core import Core, Maker
 from .discovery import Discovery, Lines
@@ -62,8 +61,9 @@
     def filter(self, record: logging.LogRecord) -> bool:
         if record.name in self.BOUNDED:
             return True
-        if int(record.created) != self._second:
-            self._second, self._count = int(record.created), 0
+        second = now_ns() // SECOND   # the wall clock may be stepped
+        if second != self._second:
+            self._second, self._count = second, 0
         self._count += 1
         return self._count <= LINES_PER_S
 
@@ -82,10 +82,8 @@
                          free, int(config.memory * BODIES))
         self.upstream = Upstream(loop, self.timers, int(free * (1 - CLIENTS)),
                                   settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns)
-        # Read once: a host's start must be the same number each time it is told.
-        offset = time.monotonic_ns() - time.time_ns()
         self.discovery = Discovery(loop, self.timers, config.discovery,
-                                    Lines(config.zones, config.kinds, offset),
+                                    Lines(config.zones, config.kinds),
                                     not settings.ask_discovery, settings.rules.drain_grace_ns,
                                     self.core.on_list)
         self.core.attach(self.upstream, self.discovery)
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -12,7 +12,8 @@
 
 import httptools
 
-from bridgesaddle.api import MS, SECOND, HostEntry, HostState, ListKind
+from bridgesaddle.api import SECOND, HostEntry, HostId, HostState, ListKind
+from bridgesaddle.start_times import StartTimes
 
 from .timers import Timers, now_ns
 
@@ -47,6 +48,10 @@
     entry: HostEntry
     address: tuple[str, int]
 
+    def started(self, start_ns: int) -> Listed:
+        """The same with a start; 0 for one that is long past."""
+        return Listed(self.entry._replace(started_ns=start_ns), self.address) if start_ns else self
+
 
 class BadLine(Exception):
     """A line of discovery that can't be used."""
@@ -55,13 +60,16 @@
 class Lines:
     """Turns discovery's objects into entries; names become the numbers of the settings."""
 
-    def __init__(self, zones: Sequence[str], kinds: Sequence[str], clock_offset_ns: int) -> None:
+    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
         self._zones = {name: index for index, name in enumerate(zones)}
         self._kinds = {name: index for index, name in enumerate(kinds)}
-        self._offset = clock_offset_ns   # monotonic less Unix time: fixed, so that a start keeps its time
+        self.start_times = StartTimes()
+
+    def parse(self, line: Any, now: int) -> tuple[int, bool, list[Listed]]:
+        """Generation, whether the list is whole, and its entries; a broken one is logged and dropped.
 
-    def parse(self, line: Any) -> tuple[int, bool, list[Listed]]:
-        """Generation, whether the list is whole, and its entries; a broken one is logged and dropped."""
+        `now` is the monotonic time, ns, at which it has come.
+        """
         try:
             generation, rows = int(line["generation"]), line["instances"]
             whole = line.get("reset", False)
@@ -69,15 +77,22 @@
                 raise BadLine("instances or reset are of the wrong kind")
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
             raise BadLine(repr(error)) from None
-        listed = []
+        listed: list[Listed] = []
+        stamped: list[tuple[HostId, int]] = []   # of those that are there
         for row in rows:
             try:
-                listed.append(self._entry(row))
+                item, stamp = self._entry(row)
             except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
                 log.warning("broken entry dropped: %r: %.200r", error, row)
-        return generation, whole, listed
-
-    def _entry(self, row: dict[str, Any]) -> Listed:
+                continue
+            listed.append(item)
+            if stamp and item.entry.state is not HostState.GONE:
+                stamped.append((item.entry.host, stamp))
+        starts = dict(zip((host for host, _ in stamped), self.start_times.place(stamped, now), strict=True))
+        return generation, whole, [item.started(starts.get(item.entry.host, 0)) for item in listed]
+
+    def _entry(self, row: dict[str, Any]) -> tuple[Listed, int]:
+        """The entry without its start, and the stamp of that, Unix time in ms."""
         address, _, port = row["hostPort"].rpartition(":")
         started, weight = int(row.get("startedAtMs") or 0), float(row.get("weight", 1.0))
         if not address or not 0 < int(port) < 65536 or not math.isfinite(weight) or started < 0:
@@ -86,9 +101,8 @@
         if not isinstance(host, str) or not host:
             raise ValueError("no instanceId")
         entry = HostEntry(host, self._zones[row["zone"]], self._kinds.get(row.get("machineType", ""), 0),
-                          int(row.get("cell", 0)), STATES[row["lifecycle"]], weight,
-                          max(1, started * MS + self._offset) if started else 0)
-        return Listed(entry, (address.strip("[]"), int(port)))
+                          int(row.get("cell", 0)), STATES[row["lifecycle"]], weight)
+        return Listed(entry, (address.strip("[]"), int(port))), started
 
 
 class _Call(asyncio.Protocol):
@@ -152,6 +166,8 @@
                 self._part.clear()
         elif self._part:
             self._owner.ended(self, "an object without end")
+        else:
+            self._owner.up_to_date()
 
     def on_headers_complete(self) -> None:
         self._status = self._parser.get_status_code()
@@ -207,12 +223,13 @@
         self._moved_at = -HANDOVER
         self._fetch: _Call | None = None
         self._pause = BACKOFF_FIRST
+        self._has_list = False   # one from discovery itself
         self.generation = 0   # as the present address counts
 
     def known(self, listed: Any) -> None:
         """The list that the configuration brings."""
         try:
-            self.generation, _, entries = self._lines.parse(listed)
+            self.generation, _, entries = self._lines.parse(listed, now_ns())
         except BadLine as error:
             log.warning("the known list is broken: %s", error)
             entries = []
@@ -280,7 +297,7 @@
     def line(self, call: _Call, text: bytes) -> bool:
         """A list or its changes have come; false where the rest of it is yet to come."""
         try:
-            generation, whole, entries = self._lines.parse(json.loads(text))
+            generation, whole, entries = self._lines.parse(json.loads(text), now_ns())
         except json.JSONDecodeError as error:
             if call.watch and error.pos >= len(error.doc.rstrip()):
                 return False
@@ -295,9 +312,16 @@
         if call.epoch == self.epoch:
             self.generation = generation
         self._pause = BACKOFF_FIRST
+        self._has_list = True
+        self.up_to_date()
         self._tell(ListKind.FULL if whole or call is self._fetch else ListKind.DELTA, entries)
         return True
 
+    def up_to_date(self) -> None:
+        """All that discovery knows has been told, be it that nothing has changed."""
+        if self._has_list:
+            self._lines.start_times.heard(now_ns())
+
     def _broken(self, call: _Call, error: Exception) -> None:
         """Guards against a lost change: the call is given up and begun anew from the last good version."""
         log.warning("broken line dropped: %s", error)
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -11,7 +11,6 @@
 import logging
 import sys
 import tempfile
-import time
 from collections.abc import Sequence
 from pathlib import Path
 from time import monotonic_ns, process_time_ns
@@ -108,7 +107,7 @@
         self.upstream = _Upstream(loop, self._timers, SOCKETS, settings.limits.connect_timeout_ns,
                                   settings.limits.conn_idle_ns)
         self.discovery = _Discovery(loop, self._timers, address,
-                                    Lines(zones, kinds, time.monotonic_ns() - time.time_ns()),
+                                    Lines(zones, kinds),
                                     not settings.ask_discovery, settings.rules.drain_grace_ns, self._tell)
         self.upstream.spent = self.discovery.spent = self.spent
         self.core.attach(self.upstream, self.discovery)
