--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -1,4 +1,4 @@
-"""Starts on the monotonic clock: no cold server passes for warm, whatever a wall clock of the gateway says."""
+"""Starts on the monotonic clock: no cold server passes for warm, whatever a wall clock says."""
 
 from __future__ import annotations
 
