Add review case 1: a second answer reaches the next request on its connection

Cause: a connection to a host is used again 10 ms after a response, and a second answer that comes 12 ms late is then taken for the response to the next request.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,18 +1,20 @@
-"""Many requests at once on one connection: the gateway reads all of them and answers only the first nine."""
+"""Hosts send some answers a second time, 12 ms later: clients get the bodies of other clients' requests."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
+import random
+import time
 from contextlib import suppress
 from pathlib import Path
-from typing import NamedTuple
 
 from standins import (
     BROKEN,
     HELD,
+    Arrival,
+    CannotRunError,
     GatewayProcess,
-    Message,
+    Host,
     Record,
     Stage,
     main,
@@ -22,112 +24,84 @@
 )
 
 HERE = Path(__file__).resolve().parent
-CLIENTS = 70
-"""Client connections at a time: under a third of the 256 descriptors, which is 85."""
-AT_ONCE = 12
-ROUNDS = 4
-SILENCE_S = 3.0
-"""Time after the last answer in which a further one is awaited: six times the time of a request."""
-
-
-class Ending(NamedTuple):
-    """How a connection of a client ended, as the client's socket shows it."""
-
-    answers: list[Message]
-    is_closed: bool
-    """Whether the gateway has closed it, with FIN or with a reset."""
-    was_reset: bool
-    """Whether a reset came: a close over bytes that the gateway has not read causes one."""
-
-
-async def connect(gateway: GatewayProcess) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    return await asyncio.open_connection(gateway.host, gateway.port)
-
-
-async def send_at_once(gateway: GatewayProcess, record: Record, ids: list[str]) -> Ending:
-    """Send all requests in one write on one connection, and read until the gateway ends it."""
-    reader, writer = await connect(gateway)
-    await asyncio.sleep(0.05)
-    data = b"".join(request(item) for item in ids)
-    writer.write(data)
-    record.add(f"client sends {len(ids)} requests in one write of {len(data)} bytes: {ids[0]} to {ids[-1]}")
-    answers: list[Message] = []
-    is_closed = was_reset = False
-    try:
-        while len(answers) < len(ids):
-            answers.append(await asyncio.wait_for(read_message(reader), SILENCE_S))
-    except (TimeoutError, asyncio.IncompleteReadError):
-        is_closed = reader.at_eof()
-    except ConnectionResetError:
-        is_closed = was_reset = True
-    if is_closed and not was_reset:
-        # The gateway closes its socket some time after its FIN; bytes unread until then cause a reset.
-        await asyncio.sleep(2.0)
-        sock = writer.get_extra_info("socket")
-        was_reset = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
-    writer.close()
-    return Ending(answers, is_closed, was_reset)
-
-
-async def send_one_by_one(gateway: GatewayProcess, record: Record, ids: list[str]) -> Ending:
-    """Send the same requests one at a time, on a new connection after each `Connection: close`."""
-    answers: list[Message] = []
-    reader, writer = await connect(gateway)
-    for item in ids:
-        record.add(f"client sends {item}")
-        writer.write(request(item))
-        answers.append(await asyncio.wait_for(read_message(reader), SILENCE_S))
-        if answers[-1].headers.get("connection") == "close":
+SECOND_AFTER_S = 0.012
+LATEST_SECOND_S = 0.014
+"""A second answer is left out if this process could send it only later than this."""
+SECOND_SHARE = 0.05
+CLIENTS = 15
+CLIENT_RATE = 10.0
+"""Requests of one client per second of its rests."""
+SECONDS = 25.0
+
+
+class SecondAnswerHost(Host):
+    """A host that sends one answer in twenty a second time, on the same connection."""
+
+    seconds = 0
+
+    async def answer(self, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(self.delay_s * random.uniform(0.5, 1.5))
+        writer.write(self.served(arrival))
+        if trouble() and random.random() < SECOND_SHARE:
+            now = time.monotonic()
+            asyncio.get_running_loop().call_later(SECOND_AFTER_S, self._send_again, arrival, writer, now)
+        await writer.drain()
+
+    def _send_again(self, arrival: Arrival, writer: asyncio.StreamWriter, first_at: float) -> None:
+        after_s = time.monotonic() - first_at
+        if after_s > LATEST_SECOND_S or writer.is_closing():
+            return
+        writer.write(self.served(arrival))
+        SecondAnswerHost.seconds += 1
+        self.record.add(
+            f"host {self.name} sends its answer to {arrival.request_id} again after {after_s:.4f} s"
+        )
+
+
+class Tally:
+    """What the clients have got."""
+
+    def __init__(self) -> None:
+        self.served = 0
+        self.foreign = 0
+
+
+async def client(gateway: GatewayProcess, record: Record, name: str, tally: Tally) -> None:
+    """Send one request at a time, each with an id of its own, and compare the body of each answer."""
+    ends_at, number = record.now() + SECONDS, 0
+    while record.now() < ends_at:
+        with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection(gateway.host, gateway.port)
+            keeps_alive = True
+            while keeps_alive and record.now() < ends_at:
+                await asyncio.sleep(random.expovariate(CLIENT_RATE))
+                item, number = f"{name}-{number}", number + 1
+                writer.write(random.choice((request(item), request(item, "licence-request", 1000))))
+                message = await asyncio.wait_for(read_message(reader), 2.0)
+                keeps_alive = message.headers.get("connection") != "close"
+                body = message.body.decode()
+                if message.status == 200:
+                    tally.served += 1
+                    if body.split()[-1] != item:
+                        tally.foreign += 1
+                        record.add(f"FOREIGN: the answer to {item} is 200 with the body {body!r}")
+                record.add(f"answer to {item}: {message.status} {body.strip()!r}")
             writer.close()
-            reader, writer = await connect(gateway)
-    writer.close()
-    return Ending(answers, False, False)
-
-
-async def other_client(gateway: GatewayProcess, record: Record, item: str, delay_s: float) -> int:
-    """Connect, send one request some time later and return 1 if it got no answer."""
-    reader, writer = await connect(gateway)
-    await asyncio.sleep(delay_s)
-    writer.write(request(item))
-    with suppress(TimeoutError, asyncio.IncompleteReadError, OSError):
-        message = await asyncio.wait_for(read_message(reader), SILENCE_S)
-        record.add(f"answer to {item}: {message.status}")
-        writer.close()
-        return 0
-    record.add(f"no answer to {item}")
-    return 1
 
 
 async def play(stage: Stage) -> int:
     record = stage.record
-    hosts = await stage.hosts(6)
+    hosts = await stage.hosts(6, 0.02, SecondAnswerHost)
     discovery = await stage.discovery(hosts)
     gateway = await stage.gateway(hosts, discovery)
     await asyncio.sleep(1.5)
-    lost = 0
-    for number in range(ROUNDS):
-        others = [
-            asyncio.create_task(other_client(gateway, record, f"c{number}-{index}", 0.3 + index / CLIENTS))
-            for index in range(CLIENTS - 1)
-        ]
-        await asyncio.sleep(0.1)
-        ids = [f"p{number}-{index}" for index in range(AT_ONCE)]
-        send = send_at_once if trouble() else send_one_by_one
-        ending = await send(gateway, record, ids)
-        for item, answer in zip(ids, ending.answers, strict=False):
-            record.add(f"answer to {item}: {answer.status} connection={answer.headers.get('connection')}")
-        missing = ids[len(ending.answers) :]
-        ran = {arrival.request_id for host in hosts for arrival in host.arrivals}
-        if missing:
-            record.add(
-                f"no answer to {', '.join(missing)}; closed={ending.is_closed} reset={ending.was_reset} "
-                f"run by a host: {sorted(ran & set(missing))}"
-            )
-        if not ending.was_reset:  # after a reset the requests may be unread, and the client sends them again
-            lost += len(missing)
-        lost += sum(await asyncio.gather(*others))
-    record.add(f"{lost} requests were read by the gateway and got no answer")
-    return BROKEN if lost else HELD
+    tally = Tally()
+    await asyncio.gather(*(client(gateway, record, f"c{index}", tally) for index in range(CLIENTS)))
+    if tally.served < 500 or (trouble() and SecondAnswerHost.seconds < 20):
+        raise CannotRunError(f"only {tally.served} served, {SecondAnswerHost.seconds} second answers")
+    record.add(f"{SecondAnswerHost.seconds} second answers; {tally.served} requests answered with 200")
+    record.add(f"{tally.foreign} requests were served with the body of another request")
+    return BROKEN if tally.foreign else HELD
 
 
 main(HERE, play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,89 +1,125 @@
-"""Discovery writes its indented list with a pause of 1 s: the gateway never learns that hosts drain."""
+"""Clients leave in a burst: hosts get requests long after their clients have closed."""
 
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
+import json
+import os
+import sys
+import time
+from collections import Counter
 from pathlib import Path
+from typing import Any
 
-from standins import (
-    BROKEN,
-    HELD,
-    CannotRunError,
-    GatewayProcess,
-    Record,
-    Stage,
-    chunk,
-    main,
-    read_message,
-    request,
-    trouble,
-)
+from standins import BROKEN, HELD, CannotRunError, GatewayProcess, Stage, main, read_message, request, trouble
 
 HERE = Path(__file__).resolve().parent
-PAUSE_S = 1.0
-"""Pause within each first object of a watch: half of the time between two heartbeats."""
-COUNTED_AS_NOTIFIED_S = 6.0
-DRAIN_GRACE_S = 2.5
+GATEWAYS = 3
+SOCKETS = 1024
+CLIENTS = 340
+"""Clients of a gateway in a burst: under a third of its descriptors, which is 341."""
+BODY_BYTES = 60_000
+EARLY_S, PATIENT_S = 0.02, 1.2
+"""Time from the last byte of the burst to the closes of its clients."""
+BURSTS = 3
+AFTER_CLOSE_S = 0.1
 SOCKET_SLACK_S = 0.05
-HOLD_S = 0.15
-"""Allowance for a gateway that is held up, although this case does not hold it up."""
-WATCHED_S = 16.0
-"""Time after the change for which clients send."""
+LAG_STEP_S = 0.005
 
 
-async def write_in_two_pieces(writer: asyncio.StreamWriter, text: bytes) -> None:
-    """Write one object of a watch in two pieces, cut at a line end, with a pause in the middle."""
-    cut = text.index(b"\n", len(text) // 2) + 1
-    writer.write(chunk(text[:cut]))
-    await writer.drain()
-    if trouble():
-        await asyncio.sleep(PAUSE_S)
-    writer.write(chunk(text[cut:]))
-    await writer.drain()
+class LagMonitor:
+    """Measures how late this process, which plays the hosts, may read a request."""
 
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+        self._task = asyncio.create_task(self._run())
 
-async def send_one(gateway: GatewayProcess, record: Record, item: str) -> None:
-    reader, writer = await asyncio.open_connection(gateway.host, gateway.port)
-    with suppress(TimeoutError, asyncio.IncompleteReadError, OSError):
-        writer.write(request(item))
-        message = await asyncio.wait_for(read_message(reader), 2.0)
-        record.add(f"answer to {item}: {message.status}")
-    writer.close()
+    async def _run(self) -> None:
+        while True:
+            due = time.monotonic() + LAG_STEP_S
+            await asyncio.sleep(LAG_STEP_S)
+            self.longest_s = max(self.longest_s, time.monotonic() - due)
+
+    def stop(self) -> None:
+        self._task.cancel()
+
+
+def share_one_core(gateways: list[GatewayProcess]) -> None:
+    """Put all gateways on one core, and this process and the clients on the others, if there are any."""
+    cores = sorted(os.sched_getaffinity(0))
+    for gateway in gateways:
+        assert gateway.process is not None
+        os.sched_setaffinity(gateway.process.pid, {cores[-1]})
+    if len(cores) > 1:
+        os.sched_setaffinity(0, set(cores[:-1]))
+
+
+async def warm_up(gateway: GatewayProcess, name: str) -> None:
+    for number in range(20):
+        reader, writer = await asyncio.open_connection(gateway.host, gateway.port)
+        writer.write(request(f"warm-{name}-{number}"))
+        await asyncio.wait_for(read_message(reader), 3.0)
+        writer.close()
+
+
+async def send_burst(gateway: GatewayProcess, name: str, start: float) -> dict[str, Any]:
+    """Run the clients of one gateway in a process of their own and return what they report."""
+    stay_s = EARLY_S if trouble() else PATIENT_S
+    arguments = [gateway.host, gateway.port, name, CLIENTS, start, stay_s, BODY_BYTES]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", str(HERE / "clients.py"), *map(str, arguments), stdout=asyncio.subprocess.PIPE
+    )
+    output, _ = await process.communicate()
+    if process.returncode:
+        raise CannotRunError("the clients could not connect and send")
+    report: dict[str, Any] = json.loads(output)
+    return report
 
 
 async def play(stage: Stage) -> int:
     record = stage.record
-    hosts = await stage.hosts(6)
+    hosts = await stage.hosts(8, 0.03)
     discovery = await stage.discovery(hosts)
-    discovery.indent, discovery.history = 2, False
-    discovery.first_answer = write_in_two_pieces
-    gateway = await stage.gateway(hosts, discovery)
-    clients: set[asyncio.Task[None]] = set()
-    drained = [hosts[0], hosts[2]]  # two of the three in the gateway's zone
-    names, changed_at, number = {host.name for host in drained}, 0.0, 0
-    while not changed_at or record.now() < changed_at + WATCHED_S:
-        if not changed_at and record.now() > 5.0:
-            for host in drained:
-                host.lifecycle = "terminating"
-            discovery.publish(*(host.entry() for host in drained))
-            changed_at = record.now()
-        number += 1
-        clients.add(asyncio.create_task(send_one(gateway, record, f"c{number}")))
-        await asyncio.sleep(0.03)
-    await asyncio.gather(*clients)
-    arrivals = [arrival for host in hosts for arrival in host.arrivals if host.name in names]
-    if not any(arrival.at < changed_at for arrival in arrivals):
-        raise CannotRunError("the hosts got no request before they began to drain")
-    latest = changed_at + COUNTED_AS_NOTIFIED_S + DRAIN_GRACE_S + SOCKET_SLACK_S + HOLD_S
-    late = sorted(arrival for arrival in arrivals if arrival.at > latest)
-    record.add(f"calls of discovery: {discovery.calls}; the change was made at {changed_at:.3f}")
-    for arrival in late:
+    gateways = [await stage.gateway(hosts, discovery, SOCKETS) for _ in range(GATEWAYS)]
+    share_one_core(gateways)
+    await asyncio.sleep(1.5)
+    for index, gateway in enumerate(gateways):
+        await warm_up(gateway, str(index))
+    late_count = 0
+    for number in range(BURSTS):
+        monitor = LagMonitor()
+        start = time.monotonic() + 1.0
+        reports = await asyncio.gather(
+            *(send_burst(gateway, f"b{number}-g{index}", start) for index, gateway in enumerate(gateways))
+        )
+        await asyncio.sleep(2.5)
+        monitor.stop()
+        closed = {item: at - record.started for report in reports for item, at in report["closed"].items()}
+        arrivals = [arrival for host in hosts for arrival in host.arrivals if arrival.request_id in closed]
+        bound_s = AFTER_CLOSE_S + SOCKET_SLACK_S + monitor.longest_s
+        late = sorted(
+            (arrival.at - closed[arrival.request_id], arrival)
+            for arrival in arrivals
+            if arrival.at - closed[arrival.request_id] > bound_s
+        )
+        for index, report in enumerate(reports):
+            times = [at - record.started for at in report["closed"].values()]
+            statuses = Counter(report["statuses"].values())
+            record.add(
+                f"burst {number} of gateway {index}: {CLIENTS} requests were sent from "
+                f"{report['began'] - record.started:.3f} to {report['sent'] - record.started:.3f}; "
+                f"their clients closed from {min(times):.3f} to {max(times):.3f}; "
+                f"statuses {dict(statuses)} (0: none yet)"
+            )
         record.add(
-            f"{arrival.host} got {arrival.request_id} {arrival.at - changed_at:.3f} s after the change"
+            f"burst {number}: {len(arrivals)} of {len(closed)} requests at hosts; "
+            f"the hosts read at most {monitor.longest_s * 1000:.0f} ms late"
         )
-    record.add(f"{len(late)} requests went to draining hosts after {latest - changed_at:.2f} s")
-    return BROKEN if late else HELD
+        for after_s, arrival in late:
+            record.add(f"{arrival.host} got {arrival.request_id} {after_s:.3f} s after its client's close")
+        late_count += len(late)
+    record.add(f"{late_count} requests went to hosts too long after their clients had closed")
+    return BROKEN if late_count else HELD
 
 
 main(HERE, play)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -90,7 +90,6 @@
         self.arrivals: list[Arrival] = []
         self.lifecycle = "in_service"
         self.address = ""
-        self.silent = False
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -118,6 +117,21 @@
             "startedAtMs": 0,
         }
 
+    def served(self, arrival: Arrival) -> bytes:
+        """Return the answer to a request that was run; its body names the request."""
+        body = b"done by " + self.name.encode() + b" for " + arrival.request_id.encode()
+        head = (
+            f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+            'X-Server-Load: {"util":0.10,"inflight":1}\r\n\r\n'
+        )
+        return head.encode() + body
+
+    async def answer(self, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        """Run a request and answer it."""
+        await asyncio.sleep(self.delay_s)
+        writer.write(self.served(arrival))
+        await writer.drain()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         with suppress(asyncio.IncompleteReadError, OSError):
@@ -132,16 +146,7 @@
                 )
                 self.arrivals.append(arrival)
                 self.record.add(f"host {self.name} got {arrival.request_id} {message.first_line}")
-                if self.silent:
-                    continue
-                await asyncio.sleep(self.delay_s)
-                body = b"done by " + self.name.encode() + b" for " + arrival.request_id.encode()
-                head = (
-                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
-                    'X-Server-Load: {"util":0.10,"inflight":1}\r\n\r\n'
-                )
-                writer.write(head.encode() + body)
-                await writer.drain()
+                await self.answer(arrival, writer)
         self._writers.discard(writer)
         writer.close()
 
@@ -422,11 +427,11 @@
         self.record, self.directory = record, directory
         self._parts: list[Host | Discovery | GatewayProcess] = []
 
-    async def hosts(self, count: int, delay_s: float = 0.02) -> list[Host]:
+    async def hosts(self, count: int, delay_s: float = 0.02, kind: type[Host] = Host) -> list[Host]:
         """Start this number of hosts, in turn in one zone and the other."""
         hosts = []
         for index in range(count):
-            host = Host(self.record, f"s-{index}", SETTINGS["zones"][index % 2], delay_s)
+            host = kind(self.record, f"s-{index}", SETTINGS["zones"][index % 2], delay_s)
             hosts.append(await host.start())
         self._parts += hosts
         return hosts
