--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 test -x .venv/bin/python || { echo "run the build of deploy/balancer.toml first" >&2; exit 1; }
-for file in review/lib/standins.py review/[0-9]*/case.py; do
+for file in review/lib/*.py review/[0-9]*/*.py; do
     .venv/bin/python -B -c "import ast, sys; ast.parse(open(sys.argv[1]).read())" "$file"
 done
