Review case 1: a trailer without an end stops a gateway and fills its memory

RequestParser.feed limits received bytes only before the head is complete; a single trailer field has no limit, and each read copies all of it.

--- /dev/null
+++ b/review/lib/peers_case.py
@@ -0,0 +1,55 @@
+"""What cases 1 and 2 share: two gateways with ordinary clients, and peers that send much at one gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+from standins import BROKEN, HELD, CannotRunError, Stage, trouble
+from traffic import Traffic
+
+HOSTS = 6
+SOCKETS, MEMORY_MB = 384, 80
+"""Limits of a gateway, those of the reports in REPORTS-cedarferry.md."""
+CLIENTS = 25
+"""Clients of each gateway; with the pauses between their requests they send about 90 requests a second."""
+CALM_S, PLAY_S = 3.0, 8.0
+
+
+async def play_peers(stage: Stage, kind: str, peers: int, bytes_each: int) -> int:
+    """Play the case; the peers connect to gateway n0 only."""
+    record = stage.record
+    hosts = await stage.hosts(HOSTS)
+    discovery = await stage.discovery(hosts)
+    gateways = [await stage.gateway(hosts, discovery, SOCKETS, memory_mb=MEMORY_MB) for _ in range(2)]
+    traffic = Traffic(record)
+    traffic.start(gateways, CLIENTS)
+    await asyncio.sleep(CALM_S)
+    if trouble():
+        record.add(f"{peers} peers connect to n0, to send {bytes_each} bytes each")
+        await _run_peers(stage, gateways[0].host, gateways[0].port, kind, peers, bytes_each)
+    await asyncio.sleep(PLAY_S)
+    await traffic.end()
+    lost = traffic.lost()
+    return BROKEN if stage.exceeds_memory() or lost else HELD
+
+
+async def _run_peers(stage: Stage, host: str, port: int, kind: str, peers: int, bytes_each: int) -> None:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-B",
+        str(Path(__file__).resolve().parent / "peers.py"),
+        *(host, str(port), kind, str(peers), str(bytes_each)),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        output, _ = await asyncio.wait_for(process.communicate(), 30)
+    except TimeoutError:
+        process.kill()
+        raise CannotRunError("the peers did not end") from None
+    lines = output.decode().splitlines()
+    if process.returncode or len(lines) != peers:
+        raise CannotRunError("the peers failed")
+    for line in lines:
+        stage.record.add(line)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -320,16 +320,17 @@
 
 
 def make_configuration(
-    hosts: list[Host], discovery: str, listen: str, sockets: int = 256, **settings: Any
+    hosts: list[Host], discovery: str, listen: str, sockets: int, memory_mb: int, number: int, **settings: Any
 ) -> dict[str, Any]:
+    """Return the configuration of gateway `number`; the gateways take turns over the zones."""
     return {
-        "name": "n0",
+        "name": f"n{number}",
         "listen": listen,
         "discovery": discovery,
         "seed": f"{int.from_bytes(os.urandom(8)):x}",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
         "known": {"generation": 41, "reset": True, "instances": [host.entry() for host in hosts]},
-        "settings": {**SETTINGS, **settings},
+        "settings": {**SETTINGS, "my-number": number, "az": number % 2, **settings},
     }
 
 
@@ -343,7 +344,9 @@
         self.port = int(port)
         self.process: asyncio.subprocess.Process | None = None
         self.log: list[str] = []
-        self._log_task: asyncio.Task[None] | None = None
+        self.peak_memory_mb = 0.0
+        """Largest private memory of the process so far, without the pages of files and libraries."""
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> GatewayProcess:
         self.path.write_text(json.dumps(self.configuration))
@@ -360,7 +363,7 @@
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", command, cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE
         )
-        self._log_task = asyncio.create_task(self._read_log())
+        self._tasks = [asyncio.create_task(self._read_log()), asyncio.create_task(self._watch_memory())]
         for _ in range(300):
             if self.process.returncode is not None:
                 raise CannotRunError("the gateway ended at its start: " + " | ".join(self.log[-3:]))
@@ -391,12 +394,20 @@
             self.record.add(f"gateway {self.process.pid} gets {number.name}")
             self.process.send_signal(number)
 
+    async def _watch_memory(self) -> None:
+        assert self.process is not None
+        while self.process.returncode is None:
+            with suppress(OSError):
+                for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+                    if line.startswith("RssAnon:"):
+                        self.peak_memory_mb = max(self.peak_memory_mb, int(line.split()[1]) / 1024)
+            await asyncio.sleep(0.02)
+
     async def stop(self) -> None:
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
-        if self._log_task is not None:
-            await self._log_task
+        await asyncio.gather(*self._tasks)
 
 
 def free_address() -> str:
@@ -426,6 +437,7 @@
     def __init__(self, record: Record, directory: str) -> None:
         self.record, self.directory = record, directory
         self._parts: list[Host | Discovery | GatewayProcess] = []
+        self._gateway_count = 0
 
     async def hosts(self, count: int, delay_s: float = 0.02, kind: type[Host] = Host) -> list[Host]:
         """Start this number of hosts, in turn in one zone and the other."""
@@ -442,15 +454,32 @@
         return discovery
 
     async def gateway(
-        self, hosts: list[Host], discovery: Discovery, sockets: int = 256, **settings: Any
+        self, hosts: list[Host], discovery: Discovery, sockets: int, memory_mb: int, **settings: Any
     ) -> GatewayProcess:
         """Start one gateway and wait until it is ready."""
-        configuration = make_configuration(hosts, discovery.address, free_address(), sockets, **settings)
+        number, self._gateway_count = self._gateway_count, self._gateway_count + 1
+        configuration = make_configuration(
+            hosts, discovery.address, free_address(), sockets, memory_mb, number, **settings
+        )
         directory = tempfile.mkdtemp(dir=self.directory)
         gateway = GatewayProcess(self.record, configuration, directory)
         self._parts.append(gateway)
         return await gateway.start()
 
+    def exceeds_memory(self) -> bool:
+        """Record the peak memory of each gateway, and whether one was over its limit or has ended."""
+        exceeds = False
+        for part in self._parts:
+            if isinstance(part, GatewayProcess) and part.process is not None:
+                name, limit_mb = part.configuration["name"], part.configuration["limits"]["memory_mb"]
+                is_over = part.peak_memory_mb > limit_mb or part.process.returncode is not None
+                exceeds = exceeds or is_over
+                self.record.add(
+                    f"{name}: peak of the private memory {part.peak_memory_mb:.0f} MB, limit {limit_mb} MB"
+                    f"{', over the limit' if is_over else ''}; exit status {part.process.returncode}"
+                )
+        return exceeds
+
     async def end(self) -> None:
         for part in reversed(self._parts):
             await part.stop()
