Review cases: a fault of a stand-in ends a case with status 2

Cause: an exception in a stand-in's handler was printed and the case went on; a gateway that ended made the clients of the case fail instead of the check.

Change: such exceptions end a case with status 2, clients count a refused connect as a connection that ended, and processes of a case are ended when it is cut short.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -31,10 +31,14 @@
         stdout=asyncio.subprocess.PIPE,
     )
     assert process.stdout is not None
-    addresses = (await asyncio.wait_for(process.stdout.readline(), 10)).decode().split()
-    if len(addresses) != HOSTS:
-        raise CannotRunError("the hosts did not start")
-    return process, addresses
+    try:
+        addresses = (await asyncio.wait_for(process.stdout.readline(), 10)).decode().split()
+        if len(addresses) == HOSTS:
+            return process, addresses
+    except TimeoutError:
+        process.kill()
+    await process.wait()
+    raise CannotRunError("the hosts did not start")
 
 
 async def play(stage: Stage) -> int:
--- a/review/lib/peers_case.py
+++ b/review/lib/peers_case.py
@@ -46,8 +46,11 @@
     try:
         output, _ = await asyncio.wait_for(process.communicate(), 30)
     except TimeoutError:
-        process.kill()
         raise CannotRunError("the peers did not end") from None
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
     lines = output.decode().splitlines()
     if process.returncode or len(lines) != peers:
         raise CannotRunError("the peers failed")
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -494,12 +494,19 @@
         assert task is not None
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, task.cancel)
+        faults: list[str] = []  # of tasks that nobody awaits, such as the handlers of the stand-ins
+        loop.set_exception_handler(
+            lambda _, context: faults.append(f"{context['message']}: {context.get('exception')!r}")
+        )
         with tempfile.TemporaryDirectory() as temporary:
             stage = Stage(record, temporary)
             try:
-                return await asyncio.wait_for(play(stage), 105)
+                status = await asyncio.wait_for(play(stage), 105)
             finally:
                 await stage.end()
+        if faults:
+            raise CannotRunError("a stand-in failed: " + " | ".join(faults[:3]))
+        return status
 
     try:
         status = asyncio.run(run())
--- a/review/lib/traffic.py
+++ b/review/lib/traffic.py
@@ -28,6 +28,8 @@
 CLASSES = (("preview", 500), ("licence-request", 1000))
 """Classes of the settings, each with its full time in ms."""
 
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
 
 class Result(NamedTuple):
     """What became of one request."""
@@ -104,27 +106,31 @@
 
     async def _run_client(self, gateway: GatewayProcess, offset_s: float) -> None:
         await asyncio.sleep(offset_s)
-        connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        name = gateway.configuration["name"]
+        connection: Connection | None = None
         while not self._is_ending:
             number = next(self._numbers)
             class_name, timeout_ms = CLASSES[number % len(CLASSES)]
-            data = request(f"r{number}", class_name, timeout_ms)
+            data, time_s = request(f"r{number}", class_name, timeout_ms), timeout_ms / 1000
+            awaited_s = time_s + GRACE_S + AWAITED_S
             is_new = connection is None
-            if connection is None:
-                connection = await asyncio.open_connection(gateway.host, gateway.port)
-            sent_at, time_s = self.record.now(), timeout_ms / 1000
-            answer, is_closed = await _exchange(connection, data, time_s + GRACE_S + AWAITED_S)
-            if is_closed and not is_new:
-                # "if the close crosses a request the gateway has not read, the client resends that request
-                # once, on a new connection"
-                connection[1].close()
-                connection = await asyncio.open_connection(gateway.host, gateway.port)
+            answer: Message | None = None
+            is_closed = True
+            sent_at = self.record.now()
+            with suppress(OSError):  # a connect that is refused: counted as a connection that ended
+                connection = connection or await _connect(gateway)
                 sent_at = self.record.now()
-                answer, is_closed = await _exchange(connection, data, time_s + GRACE_S + AWAITED_S)
+                answer, is_closed = await _exchange(connection, data, awaited_s)
+                if is_closed and not is_new:
+                    # "if the close crosses a request the gateway has not read, the client resends that
+                    # request once, on a new connection"
+                    connection[1].close()
+                    connection = await _connect(gateway)
+                    sent_at = self.record.now()
+                    answer, is_closed = await _exchange(connection, data, awaited_s)
             status = answer.status if answer is not None else -1 if is_closed else 0
-            name = gateway.configuration["name"]
             self.results.append(Result(f"r{number}", name, sent_at, time_s, status, self.record.now()))
-            if answer is None or answer.headers.get("connection") == "close":
+            if connection is not None and (answer is None or answer.headers.get("connection") == "close"):
                 connection[1].close()
                 connection = None
             await asyncio.sleep(PAUSE_S)
@@ -132,9 +138,11 @@
             connection[1].close()
 
 
-async def _exchange(
-    connection: tuple[asyncio.StreamReader, asyncio.StreamWriter], data: bytes, awaited_s: float
-) -> tuple[Message | None, bool]:
+async def _connect(gateway: GatewayProcess) -> Connection:
+    return await asyncio.open_connection(gateway.host, gateway.port)
+
+
+async def _exchange(connection: Connection, data: bytes, awaited_s: float) -> tuple[Message | None, bool]:
     """Send a request; return its answer, if any, and whether the connection ended without one."""
     reader, writer = connection
     with suppress(TimeoutError):
