--- a/review/lib/peers.py
+++ b/review/lib/peers.py
@@ -1,8 +1,9 @@
 """Peers that send much at once and are no proper clients, in a process of their own.
 
-Arguments: host, port, kind (`trailer` or `requests`), number of peers, bytes for each to send.  They start
-together, read what they are sent, and go once the gateway has ended the connection or has answered, 6 s after
-the connect at the latest.  One line for each is printed.
+Arguments: host, port, kind (`trailer` or `requests`), number of peers, number of them that are connected at a
+time, bytes for each to send.  A group of peers starts together, and the next one when all of them have gone.
+A peer reads what it is sent, and goes once the gateway has ended the connection or, at the latest, 6 s after
+the connect.  One line for each is printed.
 """
 
 from __future__ import annotations
@@ -62,15 +63,16 @@
 
 
 def main() -> None:
-    host, port, kind, count, size = sys.argv[1:]
-    threads = [
-        threading.Thread(target=play, args=((host, int(port)), kind, number, int(size)))
-        for number in range(int(count))
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    host, port, kind, count, together, size = sys.argv[1:]
+    for first in range(0, int(count), int(together)):
+        threads = [
+            threading.Thread(target=play, args=((host, int(port)), kind, number, int(size)))
+            for number in range(first, min(int(count), first + int(together)))
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
 
 
 main()
--- a/review/lib/peers_case.py
+++ b/review/lib/peers_case.py
@@ -17,8 +17,8 @@
 CALM_S, PLAY_S = 3.0, 8.0
 
 
-async def play_peers(stage: Stage, kind: str, peers: int, bytes_each: int) -> int:
-    """Play the case; the peers connect to gateway n0 only."""
+async def play_peers(stage: Stage, kind: str, peers: int, together: int, bytes_each: int) -> int:
+    """Play the case; the peers connect to gateway n0 only, `together` of them at a time."""
     record = stage.record
     hosts = await stage.hosts(HOSTS)
     discovery = await stage.discovery(hosts)
@@ -27,24 +27,26 @@
     traffic.start(gateways, CLIENTS)
     await asyncio.sleep(CALM_S)
     if trouble():
-        record.add(f"{peers} peers connect to n0, to send {bytes_each} bytes each")
-        await _run_peers(stage, gateways[0].host, gateways[0].port, kind, peers, bytes_each)
+        record.add(
+            f"{peers} peers begin to connect to n0, {together} at a time, to send {bytes_each} bytes each"
+        )
+        await _run_peers(stage, peers, gateways[0].host, gateways[0].port, kind, peers, together, bytes_each)
     await asyncio.sleep(PLAY_S)
     await traffic.end()
     lost = traffic.lost()
     return BROKEN if stage.exceeds_memory() or lost else HELD
 
 
-async def _run_peers(stage: Stage, host: str, port: int, kind: str, peers: int, bytes_each: int) -> None:
+async def _run_peers(stage: Stage, peers: int, *arguments: object) -> None:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-B",
         str(Path(__file__).resolve().parent / "peers.py"),
-        *(host, str(port), kind, str(peers), str(bytes_each)),
+        *map(str, arguments),
         stdout=asyncio.subprocess.PIPE,
     )
     try:
-        output, _ = await asyncio.wait_for(process.communicate(), 30)
+        output, _ = await asyncio.wait_for(process.communicate(), 45)
     except TimeoutError:
         raise CannotRunError("the peers did not end") from None
     finally:
