Review cases 1 and 2: without peers they play as long as with them

Cause: with TROUBLE=0 they ended after 12 s, with peers after 27 to 36 s.

Change: a wait of 18 s takes the place of the peers. The runs with peers are as before.

--- a/review/lib/peers_case.py
+++ b/review/lib/peers_case.py
@@ -15,6 +15,8 @@
 CLIENTS = 25
 """Clients of each gateway; with the pauses between their requests they send about 90 requests a second."""
 CALM_S, PLAY_S = 3.0, 8.0
+PEERS_S = 18.0
+"""Time that stands for that of the peers when there are none."""
 
 
 async def play_peers(stage: Stage, kind: str, peers: int, together: int, bytes_each: int) -> int:
@@ -31,6 +33,8 @@
             f"{peers} peers begin to connect to n0, {together} at a time, to send {bytes_each} bytes each"
         )
         await _run_peers(stage, peers, gateways[0].host, gateways[0].port, kind, peers, together, bytes_each)
+    else:
+        await asyncio.sleep(PEERS_S)
     await asyncio.sleep(PLAY_S)
     await traffic.end()
     lost = traffic.lost()
