Review case 3: a fault in a host of the case ends it with status 2

Cause: an exception in a handler of the hosts, which have a process of their own, was printed and the case went on.

Change: it ends that process, and the case then exits with 2.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 from standins import BROKEN, HELD, SETTINGS, CannotRunError, Host, Stage, main, trouble
@@ -61,9 +62,12 @@
         await asyncio.sleep(PLAY_S)
         await traffic.end()
     finally:
-        process.terminate()
+        with suppress(ProcessLookupError):  # they have ended by themselves
+            process.terminate()
         output, _ = await process.communicate()
         record.add("hosts: " + output.decode().strip())
+    if process.returncode:
+        raise CannotRunError("the hosts failed")
     lost = traffic.lost()
     return BROKEN if stage.exceeds_memory() or lost else HELD
 
--- a/review/lib/spoilt_hosts.py
+++ b/review/lib/spoilt_hosts.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 
 from standins import Arrival, Host, Record
 
 SPOILT_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX-Note: "
+FAULT = 3
 BLOCK = b"a" * (256 * 1024)
 
 
@@ -50,9 +52,12 @@
     print(*(host.address for host in hosts), flush=True)
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
+    # A fault in a handler ends the process, so that the case cannot run on without it.
+    loop.set_exception_handler(lambda *_: os._exit(FAULT))
     loop.add_signal_handler(signal.SIGUSR1, begin)
     loop.add_signal_handler(signal.SIGTERM, ended.set)
     await ended.wait()
+    loop.set_exception_handler(None)  # the connections that are still open are about to be cut
     spoilt = SpoiltHost.spoilt_answers
     print(f"{SpoiltHost.answers - spoilt} sound answers, {spoilt} spoilt, {SpoiltHost.spoilt_bytes} bytes")
     for host in hosts:
