Client requests: bytes that belong to no body are limited in every part of a message

Cause: RequestParser limited received bytes only while the head was incomplete. httptools reports a field once it is complete; until then it stores the part received and copies it with each read, so that the time grows with the square of the length. A trailer field and a chunk extension had no limit at all. The count of the head also added a read as a whole, although it holds other requests: three requests of 64 KiB and the beginning of a fourth in one read were answered 431.

Change: FramingLimit counts the bytes since the request began or since the last part of its body, 32 KiB at most, wherever they are: target, header, chunk extension, trailer, empty lines. split_read feeds the parser 2 KiB at a time, so that the count is exact to that, and the rest of a read is not parsed after an error.

--- a/gateway/client/request_parser.py
+++ b/gateway/client/request_parser.py
@@ -10,13 +10,12 @@
 
 import httptools
 
+from ..framing import MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, field_value
 from .errors import InvalidRequestError
 
 __all__ = ["ParsedRequest", "ParserHandler", "RequestParser"]
 
-MAX_HEAD_BYTES = 16 * 1024
-"""Maximum size of a request head, bytes."""
 MAX_HEADERS = 100
 """Maximum number of request headers."""
 MAX_CONTENT_LENGTH_DIGITS = 20
@@ -56,10 +55,12 @@
         self.in_message = False
         """Whether a request is partly received."""
         self._handler = handler
+        self._framing = FramingLimit()
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
 
     def _reset(self) -> None:
+        self._framing.restart()
         self._target = b""
         self._headers: list[Header] = []
         self._body = bytearray()
@@ -67,18 +68,25 @@
         self._in_head = False
         self.in_message = False
 
+    @property
+    def has_stopped(self) -> bool:
+        """Whether the parser accepts no more data, after an error or an upgrade."""
+        return self.is_upgrade or self.error is not None
+
     def feed(self, data: bytes) -> None:
         """Parse received data and call the handler for each request that it completes."""
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.is_upgrade = True
-        except httptools.HttpParserError as error:
-            self._record_error(400, f"malformed: {error}")
-        if self._in_head and self.error is None:
-            self._head_bytes += len(data)  # an endless head may never reach a callback that counts it
-            if self._head_bytes > 2 * MAX_HEAD_BYTES:
-                self._record_error(431, "a head too long")
+        for piece in split_read(data):
+            self._framing.add(len(piece))
+            try:
+                self._parser.feed_data(piece)
+            except httptools.HttpParserUpgrade:
+                self.is_upgrade = True
+            except httptools.HttpParserError as error:
+                self._record_error(400, f"malformed: {error}")
+            if self._framing.is_exceeded:
+                self._record_error(431, "a head or trailer too long")
+            if self.has_stopped:
+                return
 
     def release(self) -> None:
         """Break the reference cycle with the httptools parser, so that no garbage collection is needed."""
@@ -135,6 +143,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._framing.restart()
         if self.error is not None:
             return
         if len(self._body) + len(body) > MAX_BODY_BYTES:
