Client connections: requests of one read are handled in turns, in bounded numbers

Cause: ClientConnection handled all requests of one read in one callback, and the event loop reads up to 32 times 256 KiB from one connection before another one gets its turn. The limits of ResponseQueue stop the next read, not the requests of this one. Behind an open request all their responses were queued, too.

Change: LimitedReadProtocol reads 16 KiB of a connection in an iteration of the event loop, and lets the others go first after a full read. A connection handles 16 requests in a turn; the rest waits in TurnQueue, where eight connections get a turn in each iteration, and nothing more is read meanwhile. At 128 queued requests nothing more is handled before a response has been written. So a connection holds one read and 128 small responses at most, and an iteration handles 16 requests for each connection that was read, and 128 for those that wait. Nothing that was read is dropped: such a connection is neither idle nor closed by the response to an earlier request. The age of unread bytes is no longer reset when reading pauses a second time.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import logging
+from collections import deque
 from typing import TYPE_CHECKING, cast
 
+from ..framing import split_read
+from ..limited_read import LimitedReadProtocol
 from ..sockets import poll_socket
-from ..telemetry import CloseReason
+from ..telemetry import CloseReason, CounterName
 from ..timers import now_ns
 from .connection_state import ConnectionEvent, ConnectionLifecycle
 from .errors import InvalidRequestError
@@ -16,6 +19,7 @@
 from .request_parser import ParsedRequest, RequestParser
 from .response_queue import ResponseQueue
 from .timeouts import FIRST_REQUEST_TIMEOUT_NS, IDLE_TIMEOUT_NS, LINGER_TIMEOUT_NS, SLOW_CLIENT_TIMEOUT_NS
+from .turn_queue import REQUESTS_PER_TURN
 
 if TYPE_CHECKING:
     from .server import ClientServer
@@ -25,14 +29,17 @@
 log = logging.getLogger("gateway.client.connection")
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(LimitedReadProtocol):
     """Protocol of one client connection.
 
     `ConnectionLifecycle` holds the connection state.  Independent of it are the open requests
     (`ResponseQueue`), whether reading is paused (`ReadControl`) and whether the client reads its responses.
+    Received requests are handled in turns (`TurnQueue`): until the last one has been handled, nothing more is
+    read, so that the bytes of one read are the most that a connection holds.
     """
 
     def __init__(self, server: ClientServer) -> None:
+        super().__init__()
         self.number = server.next_connection_number()
         """Connection number used in the log."""
         self.waiting_since_ns = now_ns()
@@ -45,10 +52,11 @@
         """The open requests."""
         self.reading = ReadControl()
         self._server = server
-        self._transport: asyncio.Transport | None = None
         self._lifecycle = ConnectionLifecycle()
         self._parser = RequestParser(self)
-        self._earliest_arrival_ns = 0  # earliest time at which the data being parsed may have arrived
+        self._unparsed: deque[bytes] = deque()  # pieces of the last read
+        self._received: deque[ParsedRequest] = deque()  # parsed and not handled yet
+        self._earliest_arrival_ns = 0  # earliest time at which the last read may have arrived
         self._write_blocked_since_ns = 0  # nonzero while the client does not read its responses
         self._close_reason = CloseReason.BY_CLIENT
 
@@ -73,6 +81,8 @@
             self.number, self._close_reason, self._parser.in_message
         )
         self._parser.release()
+        self._discard_unhandled()
+        self._server.turns.discard(self)
         for exchange in self.queue:
             if exchange.response is None:
                 self._server.release_request_id(exchange.client_request_id)
@@ -94,15 +104,17 @@
         self._server.dispatcher.telemetry.record_read_age(self._transport.get_extra_info("socket"))
         if not self._parser.in_message and self.has_sent_valid_request:
             self.waiting_since_ns = now  # not for the first request, whose timeout runs from the connect
-        self._parser.feed(data)
-        # The upgrade must come first: it changes the connection state, after which an error gets no response.
-        if self._parser.is_upgrade:
-            self._decline_upgrade()
-        if self._parser.error is not None and self._lifecycle.is_open:
-            self._respond_closing_error(self._parser.error)
-        # Must come last: requests answered immediately have already left the queue.
-        if self.queue.is_full or self.queue.is_flooded:
-            self.reading.pause(now_ns())
+        self._unparsed.extend(split_read(data))
+        self.handle_received()
+        if self.has_unhandled:
+            self._server.dispatcher.telemetry.count(CounterName.DEFERRED)
+
+    def may_read(self) -> bool:
+        """Whether reading may continue after a full read, once the other connections had their turn."""
+        if self.reading.is_paused:
+            return False
+        self.reading.check_for_unread()
+        return True
 
     def eof_received(self) -> bool:
         """Handle EOF from the client, which may still read: open requests get their responses.
@@ -130,30 +142,39 @@
     # Parser callbacks.
 
     def on_request(self, request: ParsedRequest) -> None:
-        """Queue a complete request and pass it to the server."""
-        if not self._lifecycle.is_open:
-            return
-        if not request.keep_alive:
-            self._lifecycle.handle(ConnectionEvent.LAST_REQUEST)
-        exchange = Exchange(self, closes_connection=not request.keep_alive)
-        self.queue.append(exchange)
-        try:
-            self._server.handle_request(exchange, request, self._earliest_arrival_ns)
-        except Exception:  # the parser would report it as malformed input
-            log.exception("a request could not be accepted due to an unexpected error")
-            if exchange.response is None:
-                exchange.send_failure()
+        """Store a complete request; it is handled in the connection's turn."""
+        self._received.append(request)
 
     def on_expect_continue(self) -> None:
         """Send 100 Continue, unless earlier requests are open: it would be taken for their response."""
-        if self._transport is not None and not self.queue:
+        if self._transport is not None and not self.queue and not self._received:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     # Interface for exchanges and the server.
 
+    @property
+    def has_unhandled(self) -> bool:
+        """Whether some of the received bytes have not been handled yet."""
+        return bool(self._received or self._unparsed)
+
+    def handle_received(self) -> None:
+        """Handle received requests, at most `REQUESTS_PER_TURN`; the others wait for a later turn."""
+        for _ in range(REQUESTS_PER_TURN):
+            if not self._may_handle() or not self._parse_until_request():
+                break
+            self._handle_request(self._received.popleft())
+        if not self._received:  # errors come after the requests that were received before them
+            self._handle_parser_stop()
+        if not self._lifecycle.is_open:
+            self._discard_unhandled()
+        # Must come last: requests answered immediately have already left the queue.
+        if self.has_unhandled or self.queue.is_full or self.queue.is_flooded:
+            self.reading.pause(now_ns())
+        self._resume_reading()
+
     def is_between_requests(self) -> bool:
-        """Whether no request is open or partly received."""
-        return not self.queue and not self._parser.in_message
+        """Whether no request is open, partly received or waiting for its turn."""
+        return not self.queue and not self._parser.in_message and not self.has_unhandled
 
     def is_stalled(self, now: int) -> bool:
         """Whether the first request is partly received and its timeout has passed."""
@@ -175,6 +196,7 @@
         return (
             self._server.closes_after_response(self)
             and not self._parser.in_message
+            and not self.has_unhandled
             and self.queue.last is exchange
         )
 
@@ -234,6 +256,11 @@
             self._close_reason = reason
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close the connection immediately; buffered responses are discarded."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close_if_idle(self, reason: CloseReason) -> None:
         """Close the connection if it is between requests."""
         if self.is_between_requests():
@@ -252,17 +279,58 @@
                 self._close_reason = CloseReason.AFTER_RESPONSE
                 # close() would wait for the client to read the buffered data.
                 self._transport.abort() if self._write_blocked_since_ns else self._transport.close()
-        elif self._parser.in_message and self._lifecycle.is_open and waited_ns > SLOW_CLIENT_TIMEOUT_NS:
+        elif self._is_awaiting_bytes() and waited_ns > SLOW_CLIENT_TIMEOUT_NS:
             self._respond_closing_error(InvalidRequestError(408, "the request was too slow"))
         elif self.is_between_requests() and waited_ns > IDLE_TIMEOUT_NS:
             self.close(CloseReason.IDLE)
 
+    def _is_awaiting_bytes(self) -> bool:
+        """Whether the rest of a partly received request is expected from the client."""
+        return self._parser.in_message and self._lifecycle.is_open and not self.has_unhandled
+
+    def _may_handle(self) -> bool:
+        """Whether a received request may be handled now: its response can be queued and written."""
+        return self._lifecycle.is_open and not (self.queue.is_at_capacity or self._write_blocked_since_ns)
+
+    def _parse_until_request(self) -> bool:
+        """Parse received bytes up to the end of a request; whether there is a request to handle."""
+        while not self._received and self._unparsed and not self._parser.has_stopped:
+            self._parser.feed(self._unparsed.popleft())
+        return bool(self._received)
+
+    def _handle_request(self, request: ParsedRequest) -> None:
+        """Queue a request and pass it to the server."""
+        if not request.keep_alive:
+            self._lifecycle.handle(ConnectionEvent.LAST_REQUEST)
+        exchange = Exchange(self, closes_connection=not request.keep_alive)
+        self.queue.append(exchange)
+        try:
+            self._server.handle_request(exchange, request, self._earliest_arrival_ns)
+        except Exception:  # must not prevent the response
+            log.exception("a request could not be accepted due to an unexpected error")
+            if exchange.response is None:
+                exchange.send_failure()
+
+    def _handle_parser_stop(self) -> None:
+        """Respond if the parser has stopped at an upgrade or an error."""
+        # The upgrade must come first: it changes the connection state, after which an error gets no response.
+        if self._parser.is_upgrade:
+            self._decline_upgrade()
+        if self._parser.error is not None and self._lifecycle.is_open:
+            self._respond_closing_error(self._parser.error)
+
+    def _discard_unhandled(self) -> None:
+        self._received.clear()
+        self._unparsed.clear()
+
     def _resume_reading(self) -> None:
-        if (
-            self.reading.is_paused
-            and self._lifecycle.is_open
-            and not (self.queue.is_flooded or self._write_blocked_since_ns or self.queue.is_full)
-        ):
+        """Continue with the received bytes or, if all have been handled, with reading."""
+        if not self.reading.is_paused or not self._lifecycle.is_open:
+            return
+        if self.has_unhandled:
+            if self._may_handle():
+                self._server.turns.add(self)
+        elif not (self.queue.is_flooded or self._write_blocked_since_ns or self.queue.is_full):
             self.reading.resume()
 
     def _report_half_close(self) -> None:
--- a/gateway/client/listener.py
+++ b/gateway/client/listener.py
@@ -54,7 +54,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         timers: Timers,
-        protocol_factory: Callable[[], asyncio.Protocol],
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
     ) -> None:
         """`protocol_factory` creates the protocol of each connection."""
         self._loop = loop
--- a/gateway/client/read_control.py
+++ b/gateway/client/read_control.py
@@ -4,13 +4,11 @@
 
 import asyncio
 
+from ..limited_read import READ_SIZE_BYTES
 from ..sockets import poll_socket
 
 __all__ = ["ReadControl"]
 
-FULL_READ_BYTES = 64 * 1024
-"""A read of fewer bytes has emptied the socket, as the event loop's read buffer is larger."""
-
 
 class ReadControl:
     """Whether a connection is being read, and how long unread bytes may have been waiting."""
@@ -32,7 +30,7 @@
     def earliest_arrival(self, size_bytes: int, now: int) -> int:
         """Return the earliest time, ns, at which a read of `size_bytes` at `now` may have arrived."""
         earliest_ns = self._unread_since_ns or now
-        if size_bytes < FULL_READ_BYTES:
+        if size_bytes < READ_SIZE_BYTES:  # the read has emptied the socket
             self._unread_since_ns = 0
         return earliest_ns
 
@@ -40,9 +38,14 @@
         """Pause reading, unless it is paused already."""
         if not self.is_paused and self._transport is not None:
             self.is_paused = True
-            self._unread_since_ns = now
+            self._unread_since_ns = self._unread_since_ns or now  # older bytes may still be unread
             self._transport.pause_reading()
 
+    def check_for_unread(self) -> None:
+        """Check, after a full read, whether bytes are unread: a later read may return new ones only."""
+        if self._unread_since_ns and not poll_socket(self._transport).readable:
+            self._unread_since_ns = 0
+
     def resume(self) -> None:
         """Resume reading.
 
--- a/gateway/client/response_queue.py
+++ b/gateway/client/response_queue.py
@@ -4,6 +4,9 @@
 it receives each error.  One error per sweep interval is sent at once, and the next waits for the sweep.
 Reading continues, as a valid request may follow on the same connection; it pauses until the sweep only if a
 pipelined invalid request overfills the queue.
+
+No request is handled while `MAX_QUEUED` requests wait for their responses.  This bounds the memory that a
+client can take by pipelining requests behind one whose response takes long.
 """
 
 from __future__ import annotations
@@ -12,10 +15,12 @@
 
 from .exchange import Exchange
 
-__all__ = ["MAX_PIPELINED", "ResponseQueue"]
+__all__ = ["MAX_PIPELINED", "MAX_QUEUED", "ResponseQueue"]
 
 MAX_PIPELINED = 8
 """Requests of one connection that are served concurrently; more are rejected, and reading pauses."""
+MAX_QUEUED = 128
+"""Maximum number of requests of one connection that wait for their responses, rejected ones included."""
 
 
 class ResponseQueue(deque[Exchange]):
@@ -50,6 +55,11 @@
         """Whether more requests are open than are served concurrently."""
         return len(self) > MAX_PIPELINED
 
+    @property
+    def is_at_capacity(self) -> bool:
+        """Whether no further request may be handled until a response has been written."""
+        return len(self) >= MAX_QUEUED
+
     def defer_error(self, exchange: Exchange) -> bool:
         """Pace the response to an invalid request; true if all deferred errors must be released now."""
         exchange.is_deferred = self._error_sent
--- a/gateway/client/server.py
+++ b/gateway/client/server.py
@@ -13,6 +13,7 @@
 from .errors import InvalidRequestError
 from .exchange import Exchange
 from .request_parser import ParsedRequest
+from .turn_queue import TurnQueue
 from .validation import RequestValidator
 
 __all__ = ["ClientServer"]
@@ -35,6 +36,7 @@
         self.dispatcher = dispatcher
         self.loop_monitor = loop_monitor
         self.connections = ConnectionTable(max_connections)
+        self.turns = TurnQueue()
         self.shutting_down = False
         """Whether the gateway reports itself as not ready because it is about to stop."""
         self.draining = False
--- a/gateway/telemetry.py
+++ b/gateway/telemetry.py
@@ -88,6 +88,8 @@
     """Ended attempts, by outcome."""
     RETRY: Final = "retry"
     """Attempts after the first one of a request, also those that are not sent."""
+    DEFERRED: Final = "deferred"
+    """Reads from clients whose requests were not all handled in one turn."""
     INVALID: Final = "invalid"
     """Complete requests that the gateway answered with a 4xx status of its own, by reason.  Requests that
     cannot be parsed are not counted."""
