Eviction: a connection that is closing already frees no slot for a new one

Trace at the failed accept: 68 connections in the table, 8 of them closing, where 26 and 16 more are allowed.

Cause: a new connection beyond the limit was closed and then listed as unused. The next one found it there, "evicted" it once more, which closes nothing, and was admitted without a mark. So each closed connection let another one in.

Change: eviction passes over connections that are closing; if there is no other, it reports that none was evicted.

--- a/gateway/client/admission.py
+++ b/gateway/client/admission.py
@@ -85,22 +85,22 @@
 
     def _evict_one(self) -> bool:
         """Close the least useful connection; false if all are in use."""
-        for group in (self._unvalidated, self._unused):
-            if group:
-                self._evict_oldest(group)
-                return True
+        if self._evict_oldest(self._unvalidated) or self._evict_oldest(self._unused):
+            return True
         now = now_ns()
         for connection in self._connections:
             if connection.is_stalled(now):
                 connection.close(CloseReason.EVICTED)
                 return True
-        if self._idle:
-            self._evict_oldest(self._idle)
-            return True
-        return False
+        return self._evict_oldest(self._idle)
 
     @staticmethod
-    def _evict_oldest(group: dict[ClientConnection, None]) -> None:
-        oldest = next(iter(group))
-        del group[oldest]
-        oldest.close_if_idle(CloseReason.EVICTED)
+    def _evict_oldest(group: dict[ClientConnection, None]) -> bool:
+        """Close the oldest connection of a group; false if all are closing already, which frees no slot."""
+        while group:
+            oldest = next(iter(group))
+            del group[oldest]
+            if not oldest.is_closing:
+                oldest.close_if_idle(CloseReason.EVICTED)
+                return True
+        return False
--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -183,10 +183,14 @@
             and not self.has_sent_valid_request
             and self._lifecycle.is_open
             and now - self.waiting_since_ns > FIRST_REQUEST_TIMEOUT_NS
-            and self._transport is not None
-            and not self._transport.is_closing()
+            and not self.is_closing
         )
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is about to be lost, as either side has closed it."""
+        return self._transport is None or self._transport.is_closing()
+
     def client_has_ended(self) -> bool:
         """Whether the client has sent EOF or disconnected, including an EOF behind unread bytes."""
         return self._lifecycle.client_has_ended or poll_socket(self._transport).ended
--- a/tests/gateway/test_client_admission.py
+++ b/tests/gateway/test_client_admission.py
@@ -5,8 +5,11 @@
 import pytest
 
 from balancer import MS, SECOND
+from gateway.client.admission import OVERFLOW_CONNECTIONS
+from gateway.client.connection import ClientConnection
 from gateway.client.timeouts import FIRST_REQUEST_TIMEOUT_NS, IDLE_TIMEOUT_NS, SLOW_CLIENT_TIMEOUT_NS
 from gateway.timers import now_ns
+from tests.support.event_control import BlockingClient
 from tests.support.loopback import FakeEndpoint, GatewayHarness, request, wait_until
 from tests.support.stub_balancers import SingleAttemptBalancer
 
@@ -79,6 +82,37 @@
         assert harness.gateway.server.open_connections <= 5
 
 
+async def test_connections_that_are_closing_free_no_slot_for_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Otherwise the gateway ran out of descriptors: closing connections were evicted in place of others."""
+    max_open = 2 + OVERFLOW_CONNECTIONS
+    async with GatewayHarness() as harness:
+        await harness.start(FakeEndpoint())
+        server = harness.gateway.server
+        server.max_connections = 2
+        incomplete = [await harness.connect() for _ in range(2)]
+        for number in range(max_open):
+            if number >= len(incomplete):
+                incomplete.append(await harness.connect())
+            incomplete[number].send(request(request_id=f"h{number}")[:-2])
+            await wait_until(lambda count=number + 1: server.busy_connections == count)  # type: ignore[misc]
+        connected: list[ClientConnection] = []
+        admit = server.connections.admit
+
+        def record_and_admit(connection: ClientConnection) -> None:
+            connected.append(connection)
+            admit(connection)
+
+        monkeypatch.setattr(server.connections, "admit", record_and_admit)
+        clients = [BlockingClient(harness.gateway_address) for _ in range(100)]
+        for client in clients:
+            client.sock.sendall(request(request_id="more")[:-2])
+        await wait_until(lambda: len(connected) == len(clients))
+        await wait_until(lambda: not any(connection.is_closing for connection in server.connections))
+        assert server.open_connections <= max_open
+        for client in clients:
+            client.close()
+
+
 async def test_a_connection_whose_first_request_stalls_is_evicted() -> None:
     """Without eviction incomplete requests took all slots: 148 of 174 requests of other clients failed."""
     async with GatewayHarness() as harness:
