Endpoint responses: bytes that belong to no body are limited in every part of a message

Cause: the same as in requests, in a second parser. ResponseParser limited received bytes until the head was complete; a trailer field or a chunk extension had no limit up to the deadline of the attempt, and httptools copies an incomplete field with each read.

Change: ResponseParser uses the FramingLimit and the 2 KiB pieces of the requests in place of its own count, so one rule and one constant serve both. The count goes on over interim responses, and ends with the response: what follows a complete one is judged as before.

--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -4,10 +4,10 @@
 
 import httptools
 
+from ..framing import MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, Response, field_value
 
 __all__ = [
-    "MAX_HEAD_BYTES",
     "BodyTooLongError",
     "ExtraResponseError",
     "HeadTooLongError",
@@ -17,8 +17,6 @@
     "UpgradeError",
 ]
 
-MAX_HEAD_BYTES = 16 * 1024
-"""Maximum total length of the header names and values of a response."""
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 """Headers that delimit the body; without them the body ends when the connection closes."""
 FIRST_FINAL_STATUS = 200
@@ -37,10 +35,10 @@
 
 
 class HeadTooLongError(InvalidResponseError):
-    """The response head exceeds the limit."""
+    """The response exceeds the limit on heads and trailers."""
 
     def __init__(self) -> None:
-        super().__init__("response head too long")
+        super().__init__("response head or trailer too long")
 
 
 class BodyTooLongError(InvalidResponseError):
@@ -75,7 +73,7 @@
     __slots__ = (
         "_body",
         "_final_status",
-        "_head_bytes",
+        "_framing",
         "_header_bytes",
         "_headers",
         "_is_head_complete",
@@ -87,15 +85,16 @@
     )
 
     def __init__(self) -> None:
+        self._framing = FramingLimit()
         self._parser = httptools.HttpResponseParser(self)
         self.reset()
 
     def reset(self) -> None:
         """Prepare for the next response."""
+        self._framing.restart()
         self._headers: list[Header] = []
         self._body = bytearray()
         self._header_bytes = 0  # total length of names and values
-        self._head_bytes = 0  # received before the head was complete
         self._is_head_complete = False
         self._final_status = 0  # set once the response is complete
         self.is_complete = False
@@ -118,20 +117,20 @@
         return not (self.is_complete and isinstance(self.error, ExtraResponseError))
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes; the rest of an invalid response is discarded."""
         self.has_begun = True
-        if not self._is_head_complete:
-            # httptools reports a header only when it is complete, so the received bytes are limited as well.
-            # The limit includes a body, as the read that completes the head may contain one.
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES + MAX_BODY_BYTES:
+        for piece in split_read(data):
+            self._framing.add(len(piece))
+            try:
+                self._parser.feed_data(piece)
+            except httptools.HttpParserUpgrade:
+                self.error = UpgradeError()
+            except httptools.HttpParserError as error:
+                self.error = MalformedResponseError(str(error) or "malformed")
+            if self._framing.is_exceeded and not self.is_complete:
                 self.error = HeadTooLongError()
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.error = UpgradeError()
-        except httptools.HttpParserError as error:
-            self.error = MalformedResponseError(str(error) or "malformed")
+            if self.is_invalid:
+                return
 
     def feed_eof(self) -> bool:
         """Handle the end of the stream and return whether it completes the response."""
@@ -179,6 +178,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, up to the limit."""
+        self._framing.restart()
         if self.is_complete:
             return
         self._body += body
--- a/tests/gateway/test_response_parser.py
+++ b/tests/gateway/test_response_parser.py
@@ -8,8 +8,10 @@
 
 import pytest
 
-from balancer import Outcome
-from gateway.upstream.response_parser import MAX_HEAD_BYTES
+from balancer import SECOND, Outcome
+from gateway.framing import MAX_HEAD_BYTES
+from gateway.messages import MAX_BODY_BYTES
+from gateway.upstream.response_parser import ResponseParser
 from tests.support.loopback import OK_RESPONSE, FakeEndpoint
 from tests.support.upstream import UpstreamHarness
 
@@ -130,6 +132,59 @@
     await received.wait_closed()
 
 
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_RESPONSES = {
+    "reason phrase": (b"HTTP/1.1 200 ", b"a"),
+    "header value": (b"HTTP/1.1 200 OK\r\nX: ", b"a"),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk extension": (CHUNKED_HEAD + b"1;x=", b"a"),
+    "extension of a later chunk": (CHUNKED_HEAD + b"4\r\ndone\r\n1;x=", b"a"),
+    "trailer name": (CHUNKED_HEAD + b"4\r\ndone\r\n0\r\nX", b"a"),
+    "trailer value": (CHUNKED_HEAD + b"4\r\ndone\r\n0\r\nX: ", b"a"),
+}
+"""Beginnings of responses by the part that does not end, and what repeats."""
+
+
+@pytest.mark.parametrize("read_size", [100, 4096, MAX_BODY_BYTES])
+@pytest.mark.parametrize(("beginning", "repeated"), ENDLESS_RESPONSES.values(), ids=ENDLESS_RESPONSES)
+def test_a_part_that_does_not_end_is_invalid_before_it_fills_the_memory(
+    beginning: bytes, repeated: bytes, read_size: int
+) -> None:
+    """review/3: a trailer field without an end stopped a gateway for seconds and filled its memory."""
+    parser = ResponseParser()
+    parser.feed(beginning)
+    read = repeated * (read_size // len(repeated))
+    received = 0
+    while not parser.is_invalid and received < 4 * MAX_BODY_BYTES:
+        parser.feed(read)
+        received += len(read)
+    assert parser.is_invalid
+    assert received <= MAX_BODY_BYTES
+
+
+@pytest.mark.parametrize(("beginning", "repeated"), ENDLESS_RESPONSES.values(), ids=ENDLESS_RESPONSES)
+async def test_an_attempt_whose_response_does_not_end_ends_at_once(beginning: bytes, repeated: bytes) -> None:
+    """review/3, at the socket: the attempt must not last until its deadline."""
+    harness, endpoint = UpstreamHarness(), await FakeEndpoint(reply=None).start()
+    harness.update_endpoint(endpoint.address)
+    _, result = harness.start_attempt(timeout_ns=3600 * SECOND)
+    received = await endpoint.received.get()
+    received.reply(beginning + repeated * (4 * MAX_BODY_BYTES))
+    assert await result == (Outcome.INVALID_RESPONSE, None)
+    await received.wait_closed()
+
+
+def test_a_body_in_many_chunks_with_trailers_is_valid() -> None:
+    parser = ResponseParser()
+    parser.feed(CHUNKED_HEAD)
+    for _ in range(MAX_BODY_BYTES):
+        parser.feed(b"1;n=1\r\nx\r\n")
+    parser.feed(b"0\r\nX-Sum: 1\r\n\r\n")
+    assert parser.is_complete
+    assert parser.error is None
+    assert parser.response().body == b"x" * MAX_BODY_BYTES
+
+
 async def test_large_body_in_pieces_does_not_count_towards_the_head() -> None:
     harness, endpoint = UpstreamHarness(), await FakeEndpoint(reply=None).start()
     harness.update_endpoint(endpoint.address)
