Discovery responses: bytes that belong to no body are limited in every part of a message

Cause: ResponseReader had no limit but that on lines and objects, which are body. A head, chunk extension or trailer that does not end was stored and copied with each read, and no timeout ended the call, as each read counts as life.

Change: the same FramingLimit and pieces as in the two other parsers; the call fails with HeadTooLongError, and the next one requests the changes again.

--- a/gateway/discovery/errors.py
+++ b/gateway/discovery/errors.py
@@ -8,6 +8,7 @@
     "ConnectionLostError",
     "DiscoveryCallError",
     "EndpointListError",
+    "HeadTooLongError",
     "InvalidUpdateError",
     "MalformedResponseError",
     "OversizedLineError",
@@ -46,6 +47,13 @@
         super().__init__(f"malformed response: {cause}")
 
 
+class HeadTooLongError(DiscoveryCallError):
+    """The response exceeds the limit on heads, chunk extensions and trailers."""
+
+    def __init__(self) -> None:
+        super().__init__("response head, chunk extension or trailer too long")
+
+
 class UnexpectedStatusError(DiscoveryCallError):
     """The status of the response is not 200."""
 
--- a/gateway/discovery/response_reader.py
+++ b/gateway/discovery/response_reader.py
@@ -4,7 +4,8 @@
 
 import httptools
 
-from .errors import MalformedResponseError, UnexpectedStatusError
+from ..framing import FramingLimit, split_read
+from .errors import HeadTooLongError, MalformedResponseError, UnexpectedStatusError
 
 __all__ = ["ResponseReader"]
 
@@ -21,6 +22,7 @@
     def __init__(self, splits_lines: bool) -> None:
         """`splits_lines`: return the body line by line as it arrives, not in one piece at its end."""
         self._splits_lines = splits_lines
+        self._framing = FramingLimit()
         self._parser = httptools.HttpResponseParser(self)
         self._status = 0
         self._lines: list[bytes] = []
@@ -28,13 +30,20 @@
         self.is_complete = False
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes.  Raises MalformedResponseError or UnexpectedStatusError."""
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise MalformedResponseError(error) from None
-        if self._status not in (0, STATUS_OK):  # 0: the head is still incomplete
-            raise UnexpectedStatusError(self._status)
+        """Parse received bytes.
+
+        Raises MalformedResponseError, HeadTooLongError or UnexpectedStatusError.
+        """
+        for piece in split_read(data):
+            self._framing.add(len(piece))
+            try:
+                self._parser.feed_data(piece)
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+                raise MalformedResponseError(error) from None
+            if self._status not in (0, STATUS_OK):  # 0: the head is still incomplete
+                raise UnexpectedStatusError(self._status)
+            if self._framing.is_exceeded:
+                raise HeadTooLongError
 
     def take_lines(self) -> list[bytes]:
         """Return the complete lines since the last call, without line endings."""
@@ -61,6 +70,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, and split off the complete lines."""
+        self._framing.restart()
         self._buffer += body
         if self._splits_lines and b"\n" in body:
             *lines, partial_line = bytes(self._buffer).split(b"\n")
--- a/tests/gateway/test_discovery_calls.py
+++ b/tests/gateway/test_discovery_calls.py
@@ -9,6 +9,7 @@
 
 from balancer import SECOND, EndpointState, UpdateKind
 from gateway.discovery.call import MAX_LINE_BYTES
+from gateway.messages import MAX_BODY_BYTES
 from gateway.timers import now_ns
 from tests.support.discovery import ENDPOINT_ENTRY, DiscoveryHarness
 from tests.support.loopback import wait_until
@@ -168,3 +169,32 @@
     # The gateway counts as notified after 6 s without data; the next call must respond within that time.
     discovery.sweep(now_ns() + 9 * SECOND // 2)
     assert await asyncio.wait_for(harness.updates.get(), 2) == (UpdateKind.FAILED, [])
+
+
+WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_RESPONSES = {
+    "reason phrase": b"HTTP/1.1 200 ",
+    "header value": b"HTTP/1.1 200 OK\r\nX: ",
+    "chunk extension": WATCH_HEAD + b"1;x=",
+    "extension of a later chunk": WATCH_HEAD + b"1\r\n\n\r\n1;x=",
+    "trailer value": WATCH_HEAD + b"0\r\nX: ",
+}
+"""Beginnings of responses by the part that does not end."""
+
+
+@pytest.mark.parametrize("beginning", ENDLESS_RESPONSES.values(), ids=ENDLESS_RESPONSES)
+async def test_call_whose_response_does_not_end_fails_before_it_fills_the_memory(beginning: bytes) -> None:
+    """The cause of review/1 and review/3 in discovery, where no timeout ended such a call."""
+    harness = await DiscoveryHarness.start()
+    harness.discovery.watch(True)
+    await harness.server.calls.get()
+    call = harness.discovery.current_watch
+    assert call is not None
+    call.data_received(beginning)
+    received = 0
+    while not call.is_closed and received < 4 * MAX_BODY_BYTES:
+        call.data_received(b"a" * 4096)
+        received += 4096
+    assert call.is_closed
+    assert received <= MAX_BODY_BYTES
+    assert await harness.updates.get() == (UpdateKind.FAILED, [])
