Discovery: an object that is divided into lines is decoded once

Cause: after each line that ends in a closing brace the text received so far was decoded, as it might be complete.

Change: ObjectAssembler counts the brackets outside of strings, so that an object is decoded when its brackets are closed. The first line is still decoded at once, as it usually is a complete object.

Evidence: three new tests (indented, commas in front, brackets within strings) fail without the change.

--- a/gateway/discovery/call.py
+++ b/gateway/discovery/call.py
@@ -16,6 +16,7 @@
     ResponseEndedError,
     TruncatedUpdateError,
 )
+from .object_assembler import ObjectAssembler
 from .response_reader import ResponseReader
 
 __all__ = ["MAX_LINE_BYTES", "CallOwner", "CallState", "DiscoveryCall"]
@@ -82,7 +83,7 @@
         """The task that opens the connection."""
         self._transport: asyncio.Transport | None = None
         self._response = ResponseReader(splits_lines=is_watch)
-        self._partial_object = bytearray()
+        self._partial_object = ObjectAssembler()
         self._started_ns = now_ns()
         self._last_received_ns = 0
 
@@ -128,17 +129,19 @@
 
     def _handle_line(self, line: bytes) -> None:
         """Handle a line of a watch: an object, a part of an indented object, or a heartbeat."""
-        if line.strip():
-            is_first = not self._partial_object
-            self._partial_object += line + b"\n"
-            # Decode only if the line can end an object: decoding after each line takes quadratic time.
-            may_be_complete = is_first or line.rstrip().endswith(b"}")
-            if may_be_complete and self._owner.on_update(self, bytes(self._partial_object)):
-                self._partial_object.clear()
-        elif self._partial_object:
+        if not line.strip():
+            if self._partial_object:
+                self._owner.on_call_ended(self, TruncatedUpdateError())
+            else:
+                self._owner.on_heartbeat()
+        elif self._partial_object or not self._owner.on_update(self, line):
+            self._add_to_object(line)
+
+    def _add_to_object(self, line: bytes) -> None:
+        """Add a line to an indented object, and handle the object once its brackets are closed."""
+        text = self._partial_object.add(line)
+        if text is not None and not self._owner.on_update(self, text):
             self._owner.on_call_ended(self, TruncatedUpdateError())
-        else:
-            self._owner.on_heartbeat()
 
     def _handle_end(self) -> None:
         if self.is_watch:
--- a/tests/gateway/test_discovery_calls.py
+++ b/tests/gateway/test_discovery_calls.py
@@ -198,3 +198,39 @@
     assert call.is_closed
     assert received <= MAX_BODY_BYTES
     assert await harness.updates.get() == (UpdateKind.FAILED, [])
+
+
+def format_object(style: str, entries: int) -> bytes:
+    """Return an update in one of the forms in which JSON may be divided into lines."""
+    rows = [json.dumps({**ENDPOINT_ENTRY, "instanceId": f"h{number}"}) for number in range(entries)]
+    if style == "leading commas":
+        return ('{"generation":43,"reset":true,"instances":[\n' + "\n,".join(rows) + "\n]}\n").encode()
+    if style == "brackets in strings":
+        rows = [row.replace('"cell"', '"]}{[\\"": "}", "cell"') for row in rows]
+        return ('{"generation":43,"reset":true,"instances":[\n' + ",\n".join(rows) + "\n]\n}\n").encode()
+    document = {"generation": 43, "reset": True, "instances": [json.loads(row) for row in rows]}
+    return json.dumps(document, indent=2).encode() + b"\n"
+
+
+@pytest.mark.parametrize("style", ["indented", "leading commas", "brackets in strings"])
+async def test_divided_update_is_decoded_once(style: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Decoding a list after each line that may be its last took time quadratic in its length."""
+    harness = await DiscoveryHarness.start()
+    harness.discovery.watch(True)
+    await harness.server.calls.get()
+    call = harness.discovery.current_watch
+    assert call is not None
+    decoded_bytes = 0
+    decode = json.loads
+
+    def count_decoded(text: bytes) -> object:
+        nonlocal decoded_bytes
+        decoded_bytes += len(text)
+        return decode(text)
+
+    monkeypatch.setattr("gateway.discovery.discovery.json.loads", count_decoded)
+    text = format_object(style, entries=200)
+    call.data_received(WATCH_HEAD + b"%x\r\n%b\r\n" % (len(text), text))
+    kind, endpoints = await harness.updates.get()
+    assert (kind, len(endpoints)) == (UpdateKind.SNAPSHOT, 200)
+    assert decoded_bytes <= 2 * len(text)
