Endpoint and discovery connections are read in parts, like those of clients

Cause: the event loop reads up to 32 times 256 KiB from a connection in one iteration. What an endpoint or discovery sends in small parts (chunks of one byte, empty lines, updates of one line) is handled in that iteration.

Change: EndpointConnection and DiscoveryCall derive from LimitedReadProtocol, so that at most 16 KiB of each are handled before the other connections and the timers get their turn.

Evidence: the tests that name the two classes fail without the change; the reading in parts is tested on the base.

--- a/gateway/discovery/call.py
+++ b/gateway/discovery/call.py
@@ -8,6 +8,7 @@
 
 from balancer import SECOND
 
+from ..limited_read import LimitedReadProtocol
 from ..timers import now_ns
 from .errors import (
     ConnectionLostError,
@@ -70,10 +71,11 @@
         """Handle the end of a call; `error` is None if a fetch was successful."""
 
 
-class DiscoveryCall(asyncio.Protocol):
+class DiscoveryCall(LimitedReadProtocol):
     """A call and its connection."""
 
     def __init__(self, owner: CallOwner, is_watch: bool) -> None:
+        super().__init__()
         self._owner = owner
         self.is_watch = is_watch
         self.address = owner.address
@@ -81,7 +83,6 @@
         self.state = CallState.CONNECTING
         self.task: asyncio.Task[None] | None = None
         """The task that opens the connection."""
-        self._transport: asyncio.Transport | None = None
         self._response = ResponseReader(splits_lines=is_watch)
         self._partial_object = ObjectAssembler()
         self._started_ns = now_ns()
--- a/gateway/upstream/connection.py
+++ b/gateway/upstream/connection.py
@@ -13,6 +13,7 @@
 
 from balancer import Outcome
 
+from ..limited_read import LimitedReadProtocol
 from ..sockets import poll_socket, shut_down
 from ..timers import now_ns
 from .attempt import Attempt
@@ -64,13 +65,12 @@
         """Remove a closed connection from the pool."""
 
 
-class EndpointConnection(asyncio.Protocol):
+class EndpointConnection(LimitedReadProtocol):
     """A connection to an endpoint, with at most one attempt in flight."""
 
     __slots__ = (
         "_pool",
         "_response",
-        "_transport",
         "attempt",
         "endpoint",
         "idle_since_ns",
@@ -81,6 +81,7 @@
 
     def __init__(self, pool: ConnectionPool, endpoint: UpstreamEndpoint, attempt: Attempt) -> None:
         """Create a connection that is about to be opened for `attempt`."""
+        super().__init__()
         self._pool = pool
         self.endpoint = endpoint
         self.incarnation = endpoint.incarnation
@@ -90,7 +91,6 @@
         self.task: asyncio.Task[None] | None = None
         """The task that opens the connection."""
         self.idle_since_ns = 0
-        self._transport: asyncio.Transport | None = None
         self._response = ResponseParser()
 
     def was_established(self) -> bool:
--- a/tests/gateway/test_limited_read.py
+++ b/tests/gateway/test_limited_read.py
@@ -6,7 +6,11 @@
 import socket
 from typing import cast
 
+import pytest
+
+from gateway.discovery import DiscoveryCall
 from gateway.limited_read import READ_SIZE_BYTES, LimitedReadProtocol
+from gateway.upstream.connection import EndpointConnection
 from tests.support.loopback import wait_until
 
 SENT_BYTES = 10 * READ_SIZE_BYTES
@@ -64,3 +68,8 @@
         await asyncio.sleep(0)
     assert len(protocol.received) == READ_SIZE_BYTES
     peer.close()
+
+
+@pytest.mark.parametrize("protocol", [EndpointConnection, DiscoveryCall])
+def test_connections_that_the_gateway_opens_are_limited(protocol: type) -> None:
+    assert issubclass(protocol, LimitedReadProtocol)
