Start times: a delta no longer discards the starts of the other listed endpoints

Cause: the number of starts that stay was taken from the last update. A delta of one entry left 258, whatever the size of the list, and a later change of an endpoint whose start was discarded dated that start to now: the endpoint was in slow start again, and got less work than it can do.

Change: the number follows the largest update so far, usually the complete list. It stays bounded.

Fleets that grow by deltas alone to more than twice the largest list and 256 more still lose the oldest starts.

--- a/balancer/start_times.py
+++ b/balancer/start_times.py
@@ -20,7 +20,7 @@
 MAX_PUBLICATION_DELAY_NS = 10 * SECOND
 """Maximum time in ns from a start to its publication, if an update or heartbeat arrived just before."""
 MAX_UNLISTED_STARTS = 256
-"""Number of starts stored beyond two per entry of the last update: unlisted endpoints may be listed again."""
+"""Number of starts stored beyond two per entry of the largest update: an endpoint may be listed again."""
 
 
 class _Start(NamedTuple):
@@ -35,10 +35,10 @@
 class StartTimes:
     """Start times on the monotonic clock; after the first list a stored start is not converted again.
 
-    After an update, the starts of the `2 * entries + MAX_UNLISTED_STARTS` endpoints stored last stay, where
-    `entries` is the size of that update; a restarted endpoint keeps its place in the order of storing. The
-    start of an endpoint stored earlier is dropped, even if the endpoint is still listed, and converted again
-    if it is published again.
+    The starts of the `2 * entries + MAX_UNLISTED_STARTS` endpoints stored last stay, where `entries` is the
+    size of the largest update so far, usually the complete list; a delta has only the changed endpoints.
+    A restarted endpoint keeps its place in the order of storing. The start of an endpoint stored earlier is
+    dropped and converted again if it is published again.
     """
 
     def __init__(self) -> None:
@@ -47,6 +47,8 @@
         """Lower bound of the offset of Unix time from the monotonic clock."""
         self._offset_from_update = False
         """Whether `_min_offset_ns` comes from an update and not from the first list."""
+        self._max_entries = 0
+        """Number of starts in the largest update so far."""
         self._up_to_date_ns: int | None = None
         """Monotonic time at which discovery had last published everything it knew."""
 
@@ -81,7 +83,8 @@
             if start is None or start.unix_ns != unix_ns:
                 start = self._starts[endpoint_id] = _Start(unix_ns, max(1, self._convert(unix_ns, now_ns)))
             converted.append(start.monotonic_ns)
-        self._prune(len(starts_ms))
+        self._max_entries = max(self._max_entries, len(starts_ms))
+        self._prune()
         return converted
 
     def _update_offset(self, offset_ns: int) -> None:
@@ -114,6 +117,6 @@
         )
         return now_ns if is_implausible or start_ns > now_ns else start_ns
 
-    def _prune(self, entry_count: int) -> None:
-        while len(self._starts) > 2 * entry_count + MAX_UNLISTED_STARTS:
+    def _prune(self) -> None:
+        while len(self._starts) > 2 * self._max_entries + MAX_UNLISTED_STARTS:
             del self._starts[next(iter(self._starts))]
