--- /dev/null
+++ b/tests/gateway/test_memory_limit.py
@@ -0,0 +1,52 @@
+"""Peak of the private memory of a gateway process for each path by which peers can make it store data."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from tests.support.loopback import Client, FakeEndpoint, request
+from tests.support.memory import MAX_BODY_BYTES, MEMORY_MB, LimitedGateway
+
+MANY_SHORT_FIELDS = b"GET /read HTTP/1.1\r\n" + b"".join(b"n%d: %s\r\n" % (n, b"v" * 155) for n in range(98))
+FLOOD_S = 4.0
+"""Time for which a client floods the gateway: shorter than the timeout of its requests."""
+
+
+def _body_without_its_end(number: int) -> bytes:
+    return request("keyed", f"half-{number}", body=b"b" * MAX_BODY_BYTES)[:-1]
+
+
+async def _discard_responses(client: Client) -> None:
+    with suppress(OSError):
+        while await client.reader.read(1 << 16):
+            pass
+
+
+@pytest.mark.parametrize("path", ["bodies", "heads"])
+async def test_a_crowd_that_stops_in_its_requests_stays_within_the_memory(path: str, tmp_path: Path) -> None:
+    """report 168279: hundreds of clients that stopped half way, each within its own limit, in 32 MB."""
+    gateway = await LimitedGateway(tmp_path).start(FakeEndpoint())
+    _peers = await gateway.crowd(_body_without_its_end if path == "bodies" else lambda _: MANY_SHORT_FIELDS)
+    assert await gateway.peak_mb() <= MEMORY_MB
+    assert len(peers) > 0
+
+
+async def test_requests_under_new_names_on_one_connection_do_not_fill_the_memory(tmp_path: Path) -> None:
+    """report 168279: timers retained each answered request up to its deadline, at any rate."""
+    gateway = await LimitedGateway(tmp_path).start(FakeEndpoint())
+    client = await gateway.connect()
+    reading = asyncio.create_task(_discard_responses(client))
+    ends_at = time.monotonic() + FLOOD_S
+    number = 0
+    while time.monotonic() < ends_at:
+        names = (f"new-{number + index}-" + "x" * 150 for index in range(50))
+        client.send(b"".join(request(request_id=name) for name in names))
+        number += 50
+        await client.writer.drain()
+    assert await gateway.peak_mb() <= MEMORY_MB
+    await reading
