--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -29,7 +29,7 @@
 
 @pytest.mark.parametrize("path", ["bodies", "heads"])
 async def test_a_crowd_that_stops_in_its_requests_stays_within_the_memory(path: str, tmp_path: Path) -> None:
-    """report 168279: hundreds of clients that stopped half way, each within its own limit, in 32 MB."""
+    """Report 168279: hundreds of clients that stopped half way, each within its own limit, in 32 MB."""
     gateway = await LimitedGateway(tmp_path).start(FakeEndpoint())
     _peers = await gateway.crowd(_body_without_its_end if path == "bodies" else lambda _: MANY_SHORT_FIELDS)
     assert await gateway.peak_mb() <= MEMORY_MB
@@ -37,7 +37,7 @@
 
 
 async def test_requests_under_new_names_on_one_connection_do_not_fill_the_memory(tmp_path: Path) -> None:
-    """report 168279: timers retained each answered request up to its deadline, at any rate."""
+    """Report 168279: timers retained each answered request up to its deadline, at any rate."""
     gateway = await LimitedGateway(tmp_path).start(FakeEndpoint())
     client = await gateway.connect()
     reading = asyncio.create_task(_discard_responses(client))
