--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.support.loopback import Client, FakeEndpoint, request
-from tests.support.memory import MAX_BODY_BYTES, MEMORY_MB, LimitedGateway
+from tests.support.memory import CROWD, MAX_BODY_BYTES, MEMORY_MB, LimitedGateway
 
 MANY_SHORT_FIELDS = b"GET /read HTTP/1.1\r\n" + b"".join(b"n%d: %s\r\n" % (n, b"v" * 155) for n in range(98))
 FLOOD_S = 4.0
@@ -31,9 +31,9 @@
 async def test_a_crowd_that_stops_in_its_requests_stays_within_the_memory(path: str, tmp_path: Path) -> None:
     """Report 168279: hundreds of clients that stopped half way, each within its own limit, in 32 MB."""
     gateway = await LimitedGateway(tmp_path).start(FakeEndpoint())
-    _peers = await gateway.crowd(_body_without_its_end if path == "bodies" else lambda _: MANY_SHORT_FIELDS)
+    peers = await gateway.crowd(_body_without_its_end if path == "bodies" else lambda _: MANY_SHORT_FIELDS)
     assert await gateway.peak_mb() <= MEMORY_MB
-    assert len(peers) > 0
+    assert len(peers) == CROWD
 
 
 async def test_requests_under_new_names_on_one_connection_do_not_fill_the_memory(tmp_path: Path) -> None:
