Timers: a request that has ended cancels its timers, so that they retain nothing

Cause: every request sets two to four timers (gateway deadline, attempt, balancer deadline, wait), none of which could be cancelled; each retained its request, trace and names up to its deadline, 6 s in the test, so that the memory followed the rate times the timeout, which no limit bounds.

--- a/balancer/discovery_polling.py
+++ b/balancer/discovery_polling.py
@@ -50,7 +50,7 @@
         self,
         settings: Settings,
         random: Callable[[], float],
-        call_later: Callable[[int], None],
+        call_later: Callable[[int], object],
         watch: Callable[[], None],
     ) -> None:
         self._random = random
--- a/balancer/interface.py
+++ b/balancer/interface.py
@@ -87,6 +87,9 @@
     def set_timer(self, token: int, delay_ns: int) -> None:
         """Schedule a call of `on_timer` with this token after the delay."""
 
+    def cancel_timer(self, token: int) -> None:
+        """Release a timer that is no longer needed; if it expires all the same, that has no effect."""
+
     def watch_endpoints(self, active: bool) -> None:
         """Subscribe to changes of the endpoint list, or unsubscribe if not `active`."""
 
--- a/balancer/request.py
+++ b/balancer/request.py
@@ -18,6 +18,7 @@
         "attempts_in_flight",
         "cost_hint_ns",
         "deadline",
+        "deadline_timer",
         "first_endpoint",
         "first_sent_at",
         "gap_count",
@@ -33,6 +34,7 @@
         "tenant",
         "traffic_class",
         "wait_ends_at",
+        "wait_timer",
     )
 
     def __init__(
@@ -65,6 +67,10 @@
         """Number of gaps begun; their length doubles with each, at most `retry.MAX_GAP_DOUBLINGS` times."""
         self.wait_ends_at = 0
         """When the current wait ends, in the queue or for a gap."""
+        self.deadline_timer: int | None = None
+        """Token of the timer for the deadline; None if it is not set."""
+        self.wait_timer: int | None = None
+        """Token of the last timer for the end of a wait; None if there was no wait."""
         self.last_sent_at = 0
         self.last_endpoint: Endpoint | None = None
         self.first_endpoint: Endpoint | None = None
@@ -88,7 +94,7 @@
 class Attempt:
     """An attempt in flight; it may outlive its request, as its outcome still counts for the endpoint."""
 
-    __slots__ = ("endpoint", "has_released_capacity", "is_overdue", "number", "pool", "request")
+    __slots__ = ("endpoint", "has_released_capacity", "is_overdue", "number", "pool", "request", "timer")
 
     def __init__(self, request: Request, number: int, endpoint: Endpoint, pool: EndpointPool) -> None:
         self.request = request
@@ -99,6 +105,8 @@
         """Whether it was counted as a failure of its endpoint while in flight."""
         self.has_released_capacity = False
         """Whether it no longer counts against the capacity of its pool."""
+        self.timer: int | None = None
+        """Token of the timer for its first T1; None if it is not set."""
 
     def release_capacity(self) -> None:
         """Stop counting against the pool's capacity: its endpoint is not ready, or does not respond."""
--- a/balancer/request_lifecycle.py
+++ b/balancer/request_lifecycle.py
@@ -69,7 +69,7 @@
         self.requests[request.request_id] = request
         self.dispatch_queued(now)
         # Ensures a response before the deadline even if no other event ends the request.
-        self._timers.set(request, request.deadline - now - self._settings.tick_ns)
+        request.deadline_timer = self._timers.set(request, request.deadline - now - self._settings.tick_ns)
         if self._load_shedder.should_shed(request, now):
             self._fail_or_reject(request, EndReason.INSUFFICIENT_TIME)
             return
@@ -100,7 +100,7 @@
         latest = request.arrived_at + int(MAX_QUEUE_TIME_SHARE * request.objective_ns)
         request.wait_ends_at = min(latest, request.deadline - self._settings.tick_ns)
         self._wait_queue.add(request, self._priority(request))
-        self._timers.set(request, request.wait_ends_at - now)
+        request.wait_timer = self._timers.set(request, request.wait_ends_at - now)
 
     def _priority(self, request: Request) -> float:
         """Return the priority weight per second of expected work, or the weight if that grows with work."""
@@ -123,6 +123,7 @@
         attempt = self.attempts.pop((result.request_id, result.attempt), None)
         if attempt is None:
             return
+        self._timers.cancel(attempt.timer)
         attempt.remove_from_counts()
         attempt.request.attempts_in_flight.discard(result.attempt)
         outcome = self._feedback.record_outcome(attempt, result, now)
@@ -160,7 +161,7 @@
         time_left = request.deadline - now
         self._actions.send_attempt(request.request_id, endpoint.endpoint_id, timeout or time_left)
         if not timeout and time_left > request.t1:
-            self._timers.set(attempt, request.t1)
+            attempt.timer = self._timers.set(attempt, request.t1)
 
     def _start_attempt(self, request: Request, endpoint: Endpoint, now: int) -> Attempt:
         """Record a new attempt and charge its capacity, tenant quota and slow-start credit."""
@@ -229,7 +230,8 @@
         if retry_at <= now:
             self._retry(request, now)
         else:
-            self._timers.set(request, retry_at - now)
+            self._timers.cancel(request.wait_timer)
+            request.wait_timer = self._timers.set(request, retry_at - now)
 
     def _retry(self, request: Request, now: int) -> None:
         """Send a retry to an endpoint whose retry gate it passes, or wait for another gap."""
@@ -262,6 +264,8 @@
 
     def _mark_done(self, request: Request, missed_objective: bool) -> None:
         request.is_done = True
+        self._timers.cancel(request.deadline_timer)
+        self._timers.cancel(request.wait_timer)
         self._load_shedder.record(request, missed_objective)
         self._wait_queue.discard(request)
         self.requests.pop(request.request_id, None)
--- a/gateway/control_plane.py
+++ b/gateway/control_plane.py
@@ -23,7 +23,7 @@
 from .load_report import LoadReportParser
 from .messages import Payload, Response
 from .request import Request
-from .timers import Timers, now_ns
+from .timers import Timer, Timers, now_ns
 from .upstream import Attempt, Upstream
 
 __all__ = ["ControlPlane"]
@@ -51,6 +51,7 @@
         self._settings = settings
         self._timers = timers
         self._events = EventQueue(self._on_balancer_failure)
+        self._balancer_timers: dict[int, Timer] = {}  # the pending timers of the balancer, by token
         self._load_reports = LoadReportParser(load_report_columns, settings.load_report_fields)
         self.gossip_socket: GossipSocket | None = None
         self.has_endpoints = False
@@ -81,6 +82,7 @@
 
     def on_timer(self, token: int) -> None:
         """Pass the expiry of one of the balancer's timers to the balancer."""
+        self._balancer_timers.pop(token, None)
         self._events.add(lambda now: self.balancer.on_timer(now, token))
 
     def on_settings(self, settings: Settings) -> None:
@@ -100,7 +102,12 @@
 
     def set_timer(self, token: int, delay_ns: int) -> None:
         """Set a timer that calls `on_timer` with this token after the delay."""
-        self._timers.call_at(self._events.now_ns + delay_ns, self.on_timer, token)
+        due_ns = self._events.now_ns + delay_ns
+        self._balancer_timers[token] = self._timers.call_at(due_ns, self.on_timer, token)
+
+    def cancel_timer(self, token: int) -> None:
+        """Cancel one of the balancer's timers."""
+        self._timers.cancel(self._balancer_timers.pop(token, None))
 
     def watch_endpoints(self, active: bool) -> None:
         """Start or stop the discovery watch."""
@@ -125,10 +132,11 @@
             now + HEALTH_CHECK_TIMEOUT_NS,
             self._on_health_checked,
         )
-        self._timers.call_at(attempt.deadline_ns, self._expire_attempt, attempt)
+        attempt.timer = self._timers.call_at(attempt.deadline_ns, self._expire_attempt, attempt)
         self.upstream.start_attempt(attempt)
 
     def _on_health_checked(self, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
+        self._timers.cancel(attempt.timer)
         is_served = outcome is Outcome.OK
         load_report = self._load_reports.parse(response.body) if is_served and response is not None else ()
         result = HealthCheckResult(
--- a/gateway/dispatcher.py
+++ b/gateway/dispatcher.py
@@ -104,7 +104,7 @@
             ),
         )
         self.requests.add(request)
-        self._timers.call_at(failure_deadline_ns, self._expire_request, request)
+        request.timer = self._timers.call_at(failure_deadline_ns, self._expire_request, request)
         incoming = incoming_request(request.request_id, client_request, timeout_ns)
         self._events.add(lambda now: self.balancer.on_request(now, incoming), request)
         return request
@@ -202,6 +202,7 @@
 
     def _remove_if_idle(self, request: Request) -> None:
         if not request.in_flight:
+            self._timers.cancel(request.timer)
             self.requests.remove(request)
 
     # ---- Attempts --------------------------------------------------------------------------------
@@ -232,8 +233,8 @@
         if not self._may_send(request, number):
             attempt.end(Outcome.NOT_SENT)
             return
-        # Set before the start, as an attempt may end at once; the timer of an ended attempt has no effect.
-        self._timers.call_at(deadline_ns, self._expire_attempt, attempt)
+        # Set before the start, as an attempt may end at once, which cancels its timer.
+        attempt.timer = self._timers.call_at(deadline_ns, self._expire_attempt, attempt)
         self.upstream.start_attempt(attempt)
 
     def _may_send(self, request: Request, number: int) -> bool:
@@ -263,6 +264,7 @@
     ) -> None:
         """Handle the end of an attempt: the client gets its response before the balancer gets the result."""
         request.in_flight.pop(attempt.number, None)
+        self._timers.cancel(attempt.timer)
         self.telemetry.count(CounterName.ATTEMPT, outcome.name.lower())
         request.trace.add_step(now_ns(), Phase.ATTEMPT_ENDED, outcome.name.lower())
         try:
--- a/gateway/request.py
+++ b/gateway/request.py
@@ -9,6 +9,7 @@
 
 from .messages import ClientRequest, Payload, Response
 from .telemetry import Trace
+from .timers import Timer
 from .upstream import Attempt
 
 __all__ = ["ClientExchange", "Request", "RequestState", "RequestStateError", "incoming_request"]
@@ -85,6 +86,7 @@
         "payload",
         "request_id",
         "state",
+        "timer",
         "trace",
     )
 
@@ -99,11 +101,13 @@
     ) -> None:
         """Open a request; `arrived_ns` and `deadline_ns` are times of the monotonic clock."""
         self.request_id = request_id
-        # None once ended: timers refer to a request until they expire and must not retain the connection.
+        # None once ended: attempts in flight refer to a request and must not retain the connection.
         self._exchange: ClientExchange | None = exchange
         self.payload = payload
         self.client_check_from_ns = arrived_ns + UNCHECKED_ATTEMPT_WINDOW_NS
         self.deadline_ns = deadline_ns
+        self.timer: Timer | None = None
+        """The timer for the failure shortly before the deadline."""
         self.trace = trace
         self.state = _OPEN
         self.is_ended = False
--- a/gateway/request_table.py
+++ b/gateway/request_table.py
@@ -44,7 +44,7 @@
         """Remove a request and release its payload; has no effect if it was already removed."""
         self._requests.pop(request.request_id, None)
         self.open_bytes -= request.payload.size
-        request.payload = EMPTY_PAYLOAD  # frees its memory: timers refer to the request until they expire
+        request.payload = EMPTY_PAYLOAD  # frees its memory: a timer may refer to the request for some time
 
     def requests(self) -> list[Request]:
         """Return a copy of the list of requests, in order of arrival."""
--- a/gateway/upstream/attempt.py
+++ b/gateway/upstream/attempt.py
@@ -8,6 +8,7 @@
 from balancer import MS, EndpointId, Outcome
 
 from ..messages import EMPTY_PAYLOAD, Payload, Response
+from ..timers import Timer
 
 if TYPE_CHECKING:
     from .connection import EndpointConnection
@@ -33,6 +34,7 @@
         "on_ended",
         "payload",
         "started_ns",
+        "timer",
     )
 
     def __init__(
@@ -54,6 +56,8 @@
         self.on_ended = on_ended
         self.may_start = may_start
         self.connection: EndpointConnection | None = None
+        self.timer: Timer | None = None
+        """The timer for the deadline, which the owner of the attempt sets and cancels."""
         self.is_ended = False
         self.load_report = b""  # unparsed, as received from the endpoint; empty if it sent none
 
@@ -67,6 +71,5 @@
         if not self.is_ended:
             self.is_ended = True
             self.connection = None
-            # The deadline timer holds the attempt until it expires; the body must not stay in memory so long.
-            self.payload = EMPTY_PAYLOAD
+            self.payload = EMPTY_PAYLOAD  # the timer for the connect may refer to the attempt for some time
             self.on_ended(self, outcome, response)
--- a/gateway/upstream/connection.py
+++ b/gateway/upstream/connection.py
@@ -15,7 +15,7 @@
 
 from ..limited_read import LimitedReadProtocol
 from ..sockets import poll_socket, shut_down
-from ..timers import now_ns
+from ..timers import Timer, now_ns
 from .attempt import Attempt
 from .response_outcome import classify_response, extract_load_report
 from .response_parser import ResponseParser
@@ -72,6 +72,7 @@
         "_pool",
         "_response",
         "attempt",
+        "connect_timer",
         "endpoint",
         "idle_since_ns",
         "incarnation",
@@ -90,6 +91,8 @@
         self.attempt: Attempt | None = attempt
         self.task: asyncio.Task[None] | None = None
         """The task that opens the connection."""
+        self.connect_timer: Timer | None = None
+        """The timer for the time limit of the connect."""
         self.idle_since_ns = 0
         self._response = ResponseParser()
 
--- a/gateway/upstream/upstream.py
+++ b/gateway/upstream/upstream.py
@@ -116,7 +116,9 @@
         self._connections.add(connection)
         self.connections_opened += 1
         connection.task = self._loop.create_task(self._connect(connection))
-        self._timers.call_after(self._connect_timeout_ns, self._expire_connect, connection)
+        connection.connect_timer = self._timers.call_after(
+            self._connect_timeout_ns, self._expire_connect, connection
+        )
 
     async def _connect(self, connection: EndpointConnection) -> None:
         try:
@@ -139,6 +141,7 @@
 
     def remove_connection(self, connection: EndpointConnection) -> None:
         """Remove a closed connection."""
+        self._timers.cancel(connection.connect_timer)
         self._connections.discard(connection)
         connection.endpoint.remove_idle(connection)
 
--- a/scale/cold_start/gateway.py
+++ b/scale/cold_start/gateway.py
@@ -118,6 +118,9 @@
         """Call the balancer's `on_timer` with `token` after `delay_ns`."""
         self._network.call_later(delay_ns, partial(self._on_timer, self._balancer, token))
 
+    def cancel_timer(self, token: int) -> None:
+        """Do nothing: an expiry without an owner has no effect."""
+
     def watch_endpoints(self, active: bool) -> None:
         """Do nothing: the scenario publishes the endpoint lists."""
 
--- a/simulator/reply.py
+++ b/simulator/reply.py
@@ -105,6 +105,9 @@
         """Schedule an expiry of the timer with this token after the delay."""
         self._add(_TIMER_LAYOUT.pack(_SET_TIMER, self._instance, token, delay_ns))
 
+    def cancel_timer(self, token: int) -> None:
+        """Do nothing: the wire format has no message for it, and an expiry without an owner has no effect."""
+
     def watch_endpoints(self, active: bool) -> None:
         """Subscribe to changes of the endpoint list, or unsubscribe if not `active`."""
         self._add(_WATCH_LAYOUT.pack(ActionCode.WATCH_ENDPOINTS, self._instance, active))
--- a/tests/gateway/test_readiness.py
+++ b/tests/gateway/test_readiness.py
@@ -11,6 +11,7 @@
 
 from balancer import SECOND, Actions, Balancer, EventHandler, Settings
 from gateway.dispatcher import BalancerFactory
+from gateway.timers import Timer
 from tests.support.loopback import FakeDiscovery, FakeEndpoint, GatewayHarness, wait_until
 
 GATEWAYS = 30
@@ -52,11 +53,11 @@
     timers, watch = harness.gateway.timers, harness.gateway.discovery.watch
     call_after = timers.call_after
 
-    def shorten(delay_ns: int, callback: Callable[[Any], None], argument: Any) -> None:
+    def shorten(delay_ns: int, callback: Callable[[Any], None], argument: Any) -> Timer:
         if callback == watch:
             delays_ns.append(delay_ns)
             delay_ns //= TIMER_SPEEDUP
-        call_after(delay_ns, callback, argument)
+        return call_after(delay_ns, callback, argument)
 
     timers.call_after = shorten  # type: ignore[method-assign]
 
--- a/tests/support/discovery.py
+++ b/tests/support/discovery.py
@@ -8,7 +8,7 @@
 
 from balancer import MS, UpdateKind
 from gateway.discovery import Discovery, EndpointListParser, ListedEndpoint
-from gateway.timers import Timers
+from gateway.timers import Timer, Timers
 from tests.support.loopback import FakeDiscovery
 
 DRAIN_GRACE_NS = 400 * MS
@@ -39,9 +39,9 @@
         super().__init__(loop)
         self.delays_ns: list[int] = []
 
-    def call_after(self, delay_ns: int, call: Callable[[Any], None], argument: Any) -> None:
+    def call_after(self, delay_ns: int, callback: Callable[[Any], None], argument: Any) -> Timer:
         self.delays_ns.append(delay_ns)
-        super().call_after(delay_ns, call, argument)
+        return super().call_after(delay_ns, callback, argument)
 
 
 class DiscoveryHarness:
--- a/tests/support/event_control.py
+++ b/tests/support/event_control.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from gateway.timers import Timers
+from gateway.timers import Timer, Timers
 from tests.support.loopback import FakeEndpoint
 
 __all__ = ["BlockingClient", "CapturedTimers", "DelayedConnects", "UnreportedConnects"]
@@ -46,11 +46,11 @@
         self._callbacks: dict[int, Callable[[int], None]] = {}
         monkeypatch.setattr(timers, "call_at", self.call_at)
 
-    def call_at(self, due_ns: int, callback: Callable[[Any], None], argument: Any) -> None:
+    def call_at(self, due_ns: int, callback: Callable[[Any], None], argument: Any) -> Timer:
         if isinstance(argument, int):  # a balancer's timer token; the gateway's own timers pass objects
             self._callbacks[argument] = callback
-        else:
-            self._call_at(due_ns, callback, argument)
+            return Timer(callback, argument)
+        return self._call_at(due_ns, callback, argument)
 
     def expire(self, token: int) -> None:
         """Call the callback of the timer with this token."""
--- a/tests/support/gateway_model.py
+++ b/tests/support/gateway_model.py
@@ -79,6 +79,9 @@
         """Set or replace the timer with this token."""
         self.timers[token] = self.now_ns + delay_ns
 
+    def cancel_timer(self, token: int) -> None:
+        """Do nothing: the timer expires without an effect, as in the simulator."""
+
     def watch_endpoints(self, active: bool) -> None:
         """Do nothing: a test delivers the endpoint list with `update_endpoint_list`."""
 
