Memory budget: what clients make the process store is one sum, reclaimed in order

Cause: every limit was one of a connection: 536 clients (1,024 descriptors) with 64 KiB of a body each are 34 MB; heads are stored as objects, two to three times their bytes; responses that a client does not read, or that wait behind an earlier request, had no limit on their sum; open requests had a quarter of the memory beside all that.

One budget per process (limits.memory_mb less the program's private memory at its start less an eighth): partly received requests, received and unhandled ones, queued and unwritten responses and open requests are charged at their size as objects. If it is spent, the least useful is released first and the oldest of its kind: incomplete requests of clients without a valid one (503, close), other incomplete requests (503, close), requests that pipelined responses wait for (502), responses that are not read (close). A new request may displace incomplete ones only, else it is rejected. Client transports report unwritten bytes at once (high-water mark 0); the timeout of a slow reader runs from its last progress and now also covers less than 64 KiB.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -7,12 +7,13 @@
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
-from ..framing import split_read
+from ..framing import ReceivedBytes
 from ..limited_read import LimitedReadProtocol
+from ..memory_budget import OBJECT_BYTES, Charge, Priority
 from ..sockets import poll_socket
-from ..telemetry import CloseReason, CounterName
+from ..telemetry import CloseReason, CounterName, GatewayReason
 from ..timers import now_ns
-from .connection_state import ConnectionEvent, ConnectionLifecycle
+from .connection_state import ConnectionEvent, ConnectionLifecycle, ConnectionState
 from .errors import InvalidRequestError
 from .exchange import Exchange
 from .read_control import ReadControl
@@ -28,6 +29,9 @@
 
 log = logging.getLogger("gateway.client.connection")
 
+CONNECTION_BYTES = 5_000
+"""Size in memory of a connection that stores nothing for its client, bytes."""
+
 
 class ClientConnection(LimitedReadProtocol):
     """Protocol of one client connection.
@@ -35,7 +39,8 @@
     `ConnectionLifecycle` holds the connection state.  Independent of it are the open requests
     (`ResponseQueue`), whether reading is paused (`ReadControl`) and whether the client reads its responses.
     Received requests are handled in turns (`TurnQueue`): until the last one has been handled, nothing more is
-    read, so that the bytes of one read are the most that a connection holds.
+    read, so that the bytes of one read are the most that a connection holds.  What the connection stores for
+    its client is charged to the memory budget, except for open requests, which `RequestTable` charges.
     """
 
     def __init__(self, server: ClientServer) -> None:
@@ -54,10 +59,13 @@
         self._server = server
         self._lifecycle = ConnectionLifecycle()
         self._parser = RequestParser(self)
-        self._unparsed: deque[bytes] = deque()  # pieces of the last read
+        self._unparsed = ReceivedBytes()  # of the last read
         self._received: deque[ParsedRequest] = deque()  # parsed and not handled yet
         self._earliest_arrival_ns = 0  # earliest time at which the last read may have arrived
-        self._write_blocked_since_ns = 0  # nonzero while the client does not read its responses
+        self._write_blocked_since_ns = 0  # nonzero while responses are unwritten: last progress
+        self._unwritten_bytes = 0  # size of the responses that the transport has not written completely
+        self._write_buffer_bytes = 0  # what was left of them at the last sweep
+        self._charge = Charge(server.dispatcher.memory_budget, self._reclaim)
         self._close_reason = CloseReason.BY_CLIENT
 
     # Event loop callbacks.
@@ -65,6 +73,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register an accepted connection."""
         self._transport = cast(asyncio.Transport, transport)  # not a subclass in uvloop
+        # With a high-water mark of 0, unwritten responses are reported by pause_writing and resume_writing.
+        self._transport.set_write_buffer_limits(high=0)
+        self._charge.set(CONNECTION_BYTES)
         now = now_ns()
         earliest_connect_ns = self._server.loop_monitor.earliest_connect(now)
         # Must precede on_connected, which may close the connection at once when no slot is free.
@@ -88,7 +99,8 @@
                 self._server.release_request_id(exchange.client_request_id)
                 if exchange.request is not None:
                     self._server.dispatcher.on_client_gone(exchange.request)
-        self.queue.clear()
+        self.queue.discard_all()
+        self._charge.close()
 
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
@@ -104,7 +116,7 @@
         self._server.dispatcher.telemetry.record_read_age(self._transport.get_extra_info("socket"))
         if not self._parser.in_message and self.has_sent_valid_request:
             self.waiting_since_ns = now  # not for the first request, whose timeout runs from the connect
-        self._unparsed.extend(split_read(data))
+        self._unparsed.add(data)
         self.handle_received()
         if self.has_unhandled:
             self._server.dispatcher.telemetry.count(CounterName.DEFERRED)
@@ -127,7 +139,7 @@
         return bool(self.queue)
 
     def pause_writing(self) -> None:
-        """Stop reading from a client that does not read its responses.
+        """Stop reading from a client that has not read its responses yet.
 
         The event loop may call this from inside `write`, during a flush, so nothing is flushed here.
         """
@@ -137,6 +149,7 @@
     def resume_writing(self) -> None:
         """Continue once the client reads its responses again."""
         self._write_blocked_since_ns = 0  # cleared before the flush, which resumes reading only if it is 0
+        self._unwritten_bytes = 0
         self.flush()
 
     # Parser callbacks.
@@ -171,6 +184,7 @@
         if self.has_unhandled or self.queue.is_full or self.queue.is_flooded:
             self.reading.pause(now_ns())
         self._resume_reading()
+        self._update_charge()
 
     def is_between_requests(self) -> bool:
         """Whether no request is open, partly received or waiting for its turn."""
@@ -230,6 +244,8 @@
             if transport is None or transport.is_closing():
                 continue
             transport.write(exchange.response)
+            if self._write_blocked_since_ns:
+                self._unwritten_bytes += len(exchange.response)
             self.waiting_since_ns = now_ns()
             if exchange.closes_connection:
                 self._close_write_side()
@@ -242,6 +258,7 @@
             self._server.connections.mark_idle(self)
         # Must come last: reading resumes only if the responses just written have freed a slot in the queue.
         self._resume_reading()
+        self._update_charge()
 
     def sweep(self, now: int) -> None:
         """Release deferred errors, detect closed clients and enforce the timeouts; called periodically."""
@@ -275,19 +292,28 @@
     def _enforce_timeouts(self, now: int) -> None:
         assert self._transport is not None
         waited_ns = now - self.waiting_since_ns
+        self._record_write_progress(now)
         if self._write_blocked_since_ns and now - self._write_blocked_since_ns > SLOW_CLIENT_TIMEOUT_NS:
             self._close_reason = CloseReason.SLOW_READER
             self._transport.abort()
         elif self._lifecycle.gateway_has_ended:
-            if waited_ns > LINGER_TIMEOUT_NS:
-                self._close_reason = CloseReason.AFTER_RESPONSE
-                # close() would wait for the client to read the buffered data.
-                self._transport.abort() if self._write_blocked_since_ns else self._transport.close()
+            if waited_ns > LINGER_TIMEOUT_NS and not self._write_blocked_since_ns:
+                self.close(CloseReason.AFTER_RESPONSE)
         elif self._is_awaiting_bytes() and waited_ns > SLOW_CLIENT_TIMEOUT_NS:
             self._respond_closing_error(InvalidRequestError(408, "the request was too slow"))
         elif self.is_between_requests() and waited_ns > IDLE_TIMEOUT_NS:
             self.close(CloseReason.IDLE)
 
+    def _record_write_progress(self, now: int) -> None:
+        """Restart the timeout of a client that has read a part of its responses since the last sweep."""
+        if not self._write_blocked_since_ns or self._transport is None:
+            self._write_buffer_bytes = 0
+            return
+        size_bytes = self._transport.get_write_buffer_size()
+        if size_bytes < self._write_buffer_bytes:
+            self._write_blocked_since_ns = now
+        self._write_buffer_bytes = size_bytes
+
     def _is_awaiting_bytes(self) -> bool:
         """Whether the rest of a partly received request is expected from the client."""
         return self._parser.in_message and self._lifecycle.is_open and not self.has_unhandled
@@ -299,7 +325,7 @@
     def _parse_until_request(self) -> bool:
         """Parse received bytes up to the end of a request; whether there is a request to handle."""
         while not self._received and self._unparsed and not self._parser.has_stopped:
-            self._parser.feed(self._unparsed.popleft())
+            self._parser.feed(self._unparsed.take_piece())
         return bool(self._received)
 
     def _handle_request(self, request: ParsedRequest) -> None:
@@ -327,6 +353,56 @@
         self._received.clear()
         self._unparsed.clear()
 
+    def _update_charge(self) -> None:
+        """Charge what the connection stores now to the memory budget."""
+        if self._transport is None or self._lifecycle.state is ConnectionState.CLOSED:
+            return
+        parser = self._parser
+        queued_bytes = self.queue.stored_bytes
+        size_bytes = CONNECTION_BYTES + self._unwritten_bytes + queued_bytes
+        if self._unparsed:
+            size_bytes += len(self._unparsed) + OBJECT_BYTES
+        if self._received:
+            size_bytes += sum(request.stored_bytes for request in self._received)
+        priority = None
+        if parser.in_message and self._lifecycle.is_open:
+            size_bytes += parser.stored_bytes
+            priority = (
+                Priority.INCOMPLETE_LATER_REQUEST
+                if self.has_sent_valid_request
+                else Priority.INCOMPLETE_REQUEST
+            )
+        elif queued_bytes:
+            priority = Priority.PIPELINED_REQUESTS
+        elif self._unwritten_bytes:
+            priority = Priority.UNREAD_RESPONSE
+        if size_bytes != self._charge.size_bytes or priority is not None:
+            self._charge.set(size_bytes, priority)
+
+    def _reclaim(self, priority: Priority) -> None:
+        """Release stored data of this kind, unless the reason for it has gone."""
+        if priority is Priority.UNREAD_RESPONSE:
+            self._close_reason = CloseReason.MEMORY_EXHAUSTED
+            self._unwritten_bytes = 0
+            self.abort()
+        elif priority is Priority.PIPELINED_REQUESTS:
+            self._fail_open_requests()
+        elif self._is_awaiting_bytes():
+            self._respond_closing_error(InvalidRequestError(503, "no memory for the rest of the request"))
+        else:  # complete requests before it must be handled first
+            self._update_charge()
+            return
+        self._server.dispatcher.telemetry.count(CounterName.RECLAIMED, priority.name.lower())
+        self._update_charge()
+
+    def _fail_open_requests(self) -> None:
+        """Fail the open requests, so that the responses that wait for them can be written."""
+        self.queue.release_errors()
+        for exchange in list(self.queue):  # a copy, as the responses leave the queue
+            if exchange.response is None and exchange.request is not None:
+                self._server.dispatcher.fail_request(exchange.request, GatewayReason.MEMORY_EXHAUSTED)
+        self.flush()
+
     def _resume_reading(self) -> None:
         """Continue with the received bytes or, if all have been handled, with reading."""
         if not self.reading.is_paused or not self._lifecycle.is_open:
@@ -355,6 +431,7 @@
     def _respond_closing_error(self, error: InvalidRequestError) -> None:
         """Queue an error response that closes the connection, as the rest of the request is not read."""
         self._lifecycle.handle(ConnectionEvent.LAST_REQUEST)
+        self._parser.stop()
         exchange = Exchange(self, closes_connection=True)
         self.queue.append(exchange)
         exchange.respond(error.status, [], error.body)
--- a/gateway/client/exchange.py
+++ b/gateway/client/exchange.py
@@ -73,6 +73,7 @@
         if self.closes_connection:
             self.connection.stop_reading_requests()
         self.response = _serialize_response(status, headers, body, self.closes_connection)
+        self.connection.queue.response_bytes += len(self.response)
         self.connection.flush()
 
     def send_response(self, response: Response) -> None:
--- a/gateway/client/request_parser.py
+++ b/gateway/client/request_parser.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from ..framing import MAX_HEAD_BYTES, FramingLimit, split_read
+from ..framing import HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, field_value
 from .errors import InvalidRequestError
 
@@ -22,6 +22,11 @@
 """Number of leading digits of Content-Length that are converted: a longer number exceeds the limit, unless it
 begins with zeros, and converting it is slow."""
 
+PARSED_REQUEST_BYTES = 400
+"""Size of a parsed request besides its headers, target and body, bytes."""
+BODY_GROWTH_DIVISOR = 8
+"""A body that is being received takes up to this part more than its length, so that it can grow."""
+
 
 class ParsedRequest(NamedTuple):
     """A complete request as received."""
@@ -33,6 +38,18 @@
     keep_alive: bool
     """Whether the client may send another request on the same connection (RFC 9112, 9.3)."""
 
+    @property
+    def stored_bytes(self) -> int:
+        """Size in memory, approximately."""
+        header_bytes = sum(len(name) + len(value) for name, value in self.headers)
+        return (
+            PARSED_REQUEST_BYTES
+            + len(self.headers) * HEADER_OBJECT_BYTES
+            + header_bytes
+            + len(self.target)
+            + len(self.body)
+        )
+
 
 class ParserHandler(Protocol):
     """Receives the events of a request parser."""
@@ -68,6 +85,22 @@
         self._in_head = False
         self.in_message = False
 
+    @property
+    def stored_bytes(self) -> int:
+        """Size in memory of the partly received request, approximately and rather too high."""
+        body_bytes = len(self._body)
+        framing_bytes = self._framing.size_bytes  # includes a field that is incomplete
+        if self._in_head:
+            framing_bytes = max(0, framing_bytes - self._head_bytes)
+        return (
+            PARSED_REQUEST_BYTES
+            + len(self._headers) * HEADER_OBJECT_BYTES
+            + self._head_bytes
+            + framing_bytes
+            + body_bytes
+            + body_bytes // BODY_GROWTH_DIVISOR
+        )
+
     @property
     def has_stopped(self) -> bool:
         """Whether the parser accepts no more data, after an error or an upgrade."""
@@ -88,6 +121,13 @@
             if self.has_stopped:
                 return
 
+    def stop(self) -> None:
+        """Discard the partly received request, which still counts as such; nothing more is parsed."""
+        in_message = self.in_message
+        self._reset()
+        self.in_message = in_message
+        self._parser = httptools.HttpRequestParser(self)  # the old one may store a part of a field
+
     def release(self) -> None:
         """Break the reference cycle with the httptools parser, so that no garbage collection is needed."""
         del self._parser, self._handler
--- a/gateway/client/response_queue.py
+++ b/gateway/client/response_queue.py
@@ -21,15 +21,19 @@
 """Requests of one connection that are served concurrently; more are rejected, and reading pauses."""
 MAX_QUEUED = 128
 """Maximum number of requests of one connection that wait for their responses, rejected ones included."""
+EXCHANGE_BYTES = 256
+"""Size of an exchange besides its response, bytes."""
 
 
 class ResponseQueue(deque[Exchange]):
     """The exchanges of one connection whose responses are not written yet, in the order of their requests."""
 
-    __slots__ = ("_error_sent", "is_flooded")
+    __slots__ = ("_error_sent", "is_flooded", "response_bytes")
 
     def __init__(self) -> None:
         super().__init__()
+        self.response_bytes = 0
+        """Size of the responses in the queue."""
         self._error_sent = False  # whether an invalid request has got its response since the last sweep
         self.is_flooded = False
         """Whether an invalid request has overfilled the queue since the last sweep."""
@@ -38,7 +42,20 @@
         """Remove and return the first exchange if its response can be written now, else None."""
         if not self or self[0].response is None or self[0].is_deferred:
             return None
-        return self.popleft()
+        exchange = self.popleft()
+        assert exchange.response is not None
+        self.response_bytes -= len(exchange.response)
+        return exchange
+
+    def discard_all(self) -> None:
+        """Remove all exchanges."""
+        self.clear()
+        self.response_bytes = 0
+
+    @property
+    def stored_bytes(self) -> int:
+        """Size in memory of the responses, and of the exchanges unless there are only a few."""
+        return self.response_bytes + (len(self) * EXCHANGE_BYTES if len(self) > MAX_PIPELINED else 0)
 
     @property
     def last(self) -> Exchange | None:
--- a/gateway/dispatcher.py
+++ b/gateway/dispatcher.py
@@ -24,6 +24,7 @@
 
 from .control_plane import ControlPlane
 from .load_report import LoadReportParser
+from .memory_budget import MemoryBudget
 from .messages import ClientRequest, Response
 from .request import ClientExchange, Request, incoming_request
 from .request_table import RequestTable
@@ -40,6 +41,9 @@
 FAILURE_MARGIN_NS = 12 * MS
 """Time before the client's deadline, ns, at which the gateway fails a request still open in the balancer."""
 
+DEFAULT_BUDGET_BYTES = 64 << 20
+"""Memory budget of a dispatcher that is created without one."""
+
 BalancerFactory = Callable[[Settings, int, Actions], EventHandler]
 """Creates a balancer from its settings, its random seed, and the object that executes its actions."""
 
@@ -58,13 +62,14 @@
         load_report_columns: Sequence[str] = (),
         make_balancer: BalancerFactory = Balancer,
         max_requests: int = 1024,
-        max_bytes: int = 64 << 20,
+        memory_budget: MemoryBudget | None = None,
     ) -> None:
-        """Allow at most `max_requests` open requests, whose payloads total at most `max_bytes` bytes."""
+        """Allow at most `max_requests` open requests, and no more than the memory budget has capacity for."""
         super().__init__(settings, timers, load_report_columns)
+        self.memory_budget = memory_budget or MemoryBudget(DEFAULT_BUDGET_BYTES)
         self.telemetry = Telemetry()
         self.requests = RequestTable(
-            min(max_requests, settings.limits.max_open_requests or max_requests), max_bytes
+            min(max_requests, settings.limits.max_open_requests or max_requests), self.memory_budget
         )
         self.balancer = make_balancer(settings, seed, self)
 
@@ -140,18 +145,18 @@
         request.mark_half_closed()
         request.trace.add_step(now_ns(), Phase.HALF_CLOSED)
         if not request.in_flight:
-            self._fail_request(request, GatewayReason.CLIENT_CLOSING)
+            self.fail_request(request, GatewayReason.CLIENT_CLOSING)
         elif not request.has_attempt_on_open_connection():
             self._timers.call_at(request.client_check_from_ns, self._fail_if_unsent, request)
 
     def _fail_if_unsent(self, request: Request) -> None:
         if not request.is_ended and not request.has_attempt_on_open_connection():
-            self._fail_request(request, GatewayReason.CLIENT_CLOSING)
+            self.fail_request(request, GatewayReason.CLIENT_CLOSING)
 
     def _expire_request(self, request: Request) -> None:
         """Fail a request that the balancer has not ended shortly before the client's deadline."""
         if not request.is_ended:
-            self._fail_request(request, GatewayReason.BALANCER_TIMEOUT)
+            self.fail_request(request, GatewayReason.BALANCER_TIMEOUT)
 
     def open_requests(self) -> list[Request]:
         """Return requests that have no final response yet or still have attempts in flight."""
@@ -160,14 +165,14 @@
     def fail_all(self) -> None:
         """Fail every open request, so that each client gets a response before the process exits."""
         for request in self.open_requests():
-            self._fail_request(request, GatewayReason.SHUTDOWN)
+            self.fail_request(request, GatewayReason.SHUTDOWN)
 
     # ---- End of requests -------------------------------------------------------------------------
 
     def _on_balancer_failure(self, request: Request) -> None:
-        self._fail_request(request, GatewayReason.BALANCER_ERROR)
+        self.fail_request(request, GatewayReason.BALANCER_ERROR)
 
-    def _fail_request(self, request: Request, reason: GatewayReason) -> None:
+    def fail_request(self, request: Request, reason: GatewayReason) -> None:
         """Fail a request on the gateway's own decision, and have the balancer remove it.
 
         It is failed, not rejected, as only the balancer knows whether an endpoint may have processed it.
--- a/gateway/gateway.py
+++ b/gateway/gateway.py
@@ -15,8 +15,9 @@
 from .dispatcher import BalancerFactory, Dispatcher
 from .gossip import GossipSocket
 from .loop_monitor import LoopMonitor
+from .memory_budget import MemoryBudget
 from .reload import ConfigurationReloader
-from .resource_budget import ResourceBudget
+from .resource_budget import ResourceBudget, peer_memory_bytes, private_memory_bytes
 from .shutdown import GracefulShutdown
 from .timers import Timers, now_ns
 from .upstream import Upstream
@@ -39,7 +40,10 @@
         make_balancer: BalancerFactory = Balancer,
     ) -> None:
         settings = configuration.settings
-        budget = ResourceBudget.divide(configuration.max_sockets, configuration.max_memory_bytes)
+        budget = ResourceBudget.divide(configuration.max_sockets)
+        self.memory_budget = MemoryBudget(
+            peer_memory_bytes(configuration.max_memory_bytes, private_memory_bytes())
+        )
         self._loop = loop
         self.timers = Timers(loop)
         self.dispatcher = Dispatcher(
@@ -49,7 +53,7 @@
             configuration.load_report_columns,
             make_balancer,
             budget.open_requests,
-            budget.payload_bytes,
+            self.memory_budget,
         )
         self.upstream = Upstream(
             loop,
@@ -147,6 +151,7 @@
             client_connections=self.server.open_connections,
             open_requests=len(self.dispatcher.open_requests()),
             endpoint_connections=self.upstream.open_connections,
+            stored_kb=self.memory_budget.used_bytes >> 10,
             generation=self.discovery.generation,
         )
 
--- a/gateway/request_table.py
+++ b/gateway/request_table.py
@@ -1,7 +1,8 @@
-"""Table of the requests of one gateway, limited in number and in bytes."""
+"""Table of the requests of one gateway, limited in number and by the memory budget."""
 
 from __future__ import annotations
 
+from .memory_budget import MemoryBudget, Priority
 from .messages import EMPTY_PAYLOAD
 from .request import Request
 
@@ -10,21 +11,27 @@
 MAX_REQUEST_ID = 0xFFFFFFFF
 """Highest request ID, after which they continue at 0; the simulator protocol has 32 bits for them."""
 
+OPEN_REQUEST_BYTES = 4_000
+"""Size of an open request besides its payload, bytes: its objects in the gateway and in the balancer."""
+
 
 class RequestTable:
     """Stores the requests that have no final response yet or still have attempts in flight, by request ID."""
 
-    def __init__(self, max_requests: int, max_bytes: int) -> None:
+    def __init__(self, max_requests: int, budget: MemoryBudget) -> None:
         self.max_requests = max_requests
-        self.max_bytes = max_bytes
-        self.open_bytes = 0
-        """Total size of the payloads of all requests in the table."""
+        self._budget = budget
         self.last_request_id = 0
         self._requests: dict[int, Request] = {}
 
     def has_capacity(self, payload_bytes: int) -> bool:
-        """Whether the table can take one more request with a payload of this size."""
-        return len(self._requests) < self.max_requests and self.open_bytes + payload_bytes <= self.max_bytes
+        """Whether the table can take one more request with a payload of this size.
+
+        Incomplete requests are reclaimed for it if necessary, as they are less useful.
+        """
+        return len(self._requests) < self.max_requests and self._budget.can_add(
+            payload_bytes + OPEN_REQUEST_BYTES, Priority.INCOMPLETE_LATER_REQUEST
+        )
 
     def next_request_id(self) -> int:
         """Allocate and return the ID of the next request."""
@@ -34,7 +41,7 @@
     def add(self, request: Request) -> None:
         """Add a request to the table."""
         self._requests[request.request_id] = request
-        self.open_bytes += request.payload.size
+        self._budget.used_bytes += request.payload.size + OPEN_REQUEST_BYTES
 
     def get(self, request_id: int) -> Request | None:
         """Return the request with this ID, or None if it is not in the table."""
@@ -42,8 +49,9 @@
 
     def remove(self, request: Request) -> None:
         """Remove a request and release its payload; has no effect if it was already removed."""
-        self._requests.pop(request.request_id, None)
-        self.open_bytes -= request.payload.size
+        if self._requests.pop(request.request_id, None) is None:
+            return
+        self._budget.used_bytes -= request.payload.size + OPEN_REQUEST_BYTES
         request.payload = EMPTY_PAYLOAD  # frees its memory: a timer may refer to the request for some time
 
     def requests(self) -> list[Request]:
--- a/gateway/resource_budget.py
+++ b/gateway/resource_budget.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import resource
+from contextlib import suppress
+from pathlib import Path
 from typing import NamedTuple
 
-__all__ = ["ResourceBudget"]
+__all__ = ["ResourceBudget", "peer_memory_bytes", "private_memory_bytes"]
 
 RESERVED_DESCRIPTORS = 48
 """Descriptors for everything except client and endpoint connections, such as the listening socket, calls to
@@ -15,22 +17,25 @@
 CLIENT_SHARE = 0.55
 """Share of the connection descriptors that clients may use, so that any number of clients leaves the rest for
 endpoint connections."""
-PAYLOAD_SHARE = 0.25
-"""Share of the memory that the payloads of open requests may use."""
+RESERVED_MEMORY_SHARE = 0.125
+"""Share of the memory for what is stored only within one callback, and for gaps between stored objects."""
+MIN_PEER_MEMORY_SHARE = 0.125
+"""Share of the memory that peers may use at least, even if the program itself leaves less."""
+DEFAULT_PROGRAM_BYTES = 16 << 20
+"""Private memory of the program at its start, where the system does not report it."""
+PAGE_BYTES = resource.getpagesize()
 
 
 class ResourceBudget(NamedTuple):
-    """Limits on the connections, requests and payload bytes of one gateway."""
+    """Limits on the connections and requests of one gateway."""
 
     client_connections: int
     endpoint_connections: int
     open_requests: int
-    payload_bytes: int
-    """Total for all open requests."""
 
     @classmethod
-    def divide(cls, max_sockets: int, max_memory_bytes: int) -> ResourceBudget:
-        """Divide the configured resources, bounded by the descriptor limit of the process.
+    def divide(cls, max_sockets: int) -> ResourceBudget:
+        """Divide the configured descriptors, bounded by the descriptor limit of the process.
 
         The limit of the process is the soft limit of RLIMIT_NOFILE.
         """
@@ -41,5 +46,23 @@
             client_connections=int(connections * CLIENT_SHARE),
             endpoint_connections=int(connections * (1 - CLIENT_SHARE)),
             open_requests=connections,
-            payload_bytes=int(max_memory_bytes * PAYLOAD_SHARE),
         )
+
+
+def peer_memory_bytes(max_memory_bytes: int, program_bytes: int) -> int:
+    """Return the part of the memory limit that data stored for peers may use.
+
+    `program_bytes` is the private memory of the process before it has any peers.
+    """
+    reserved_bytes = int(max_memory_bytes * RESERVED_MEMORY_SHARE)
+    least_bytes = int(max_memory_bytes * MIN_PEER_MEMORY_SHARE)
+    return max(least_bytes, max_memory_bytes - program_bytes - reserved_bytes)
+
+
+def private_memory_bytes() -> int:
+    """Return the private memory of this process: without the pages of files and libraries (proc(5))."""
+    with suppress(OSError, ValueError, IndexError):
+        _total, resident, shared, *_ = map(int, Path("/proc/self/statm").read_text().split())
+        if resident > shared:
+            return (resident - shared) * PAGE_BYTES
+    return DEFAULT_PROGRAM_BYTES
--- a/gateway/telemetry.py
+++ b/gateway/telemetry.py
@@ -65,6 +65,8 @@
     """The client has sent EOF, and no attempt is in flight on an established connection."""
     BALANCER_ERROR = "balancer_error"
     """The balancer raised an exception."""
+    MEMORY_EXHAUSTED = "memory_exhausted"
+    """Later responses of its connection waited for it, and the memory budget was exhausted."""
     SHUTDOWN = "shutdown"
     """The request was still open at the time limit of the graceful shutdown."""
 
@@ -95,6 +97,8 @@
     cannot be parsed are not counted."""
     CLOSED: Final = "closed"
     """Client connections closed, by reason."""
+    RECLAIMED: Final = "reclaimed"
+    """Items that were released as the memory budget was exhausted, by kind (`Priority`)."""
     INCOMPLETE: Final = "incomplete"
     """Client connections closed after a part of a request had been received."""
 
@@ -111,6 +115,8 @@
     AFTER_RESPONSE = "after_response"
     """Closed some time after its last response, so that the client could read it."""
     SLOW_READER = "slow_reader"
+    MEMORY_EXHAUSTED = "memory_exhausted"
+    """Closed to free memory, as the client did not read its responses."""
     HALF_CLOSED = "half_closed"
     """The client had sent EOF, and all responses have been sent."""
     SHUTDOWN = "shutdown"
