Memory budget: tests of who is released first, and an open write is no idle connection

Tests force each kind of release over loopback: the oldest incomplete request of a new client gets 503 and a close while a client with a valid request before stays; a complete request displaces an incomplete one but no response; a request that large responses wait for gets 502 and the responses follow; a client that reads nothing is closed. One of them found that a connection whose response was still being written was closed as idle after 2 s; it is not idle now. The slow reader's timeout runs from its last progress.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -205,6 +205,10 @@
         """Whether the connection is about to be lost, as either side has closed it."""
         return self._transport is None or self._transport.is_closing()
 
+    def unwritten_buffer_bytes(self) -> int:
+        """Return the size of the responses, or parts of them, that the system has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
     def client_has_ended(self) -> bool:
         """Whether the client has sent EOF or disconnected, including an EOF behind unread bytes."""
         return self._lifecycle.client_has_ended or poll_socket(self._transport).ended
@@ -301,7 +305,7 @@
                 self.close(CloseReason.AFTER_RESPONSE)
         elif self._is_awaiting_bytes() and waited_ns > SLOW_CLIENT_TIMEOUT_NS:
             self._respond_closing_error(InvalidRequestError(408, "the request was too slow"))
-        elif self.is_between_requests() and waited_ns > IDLE_TIMEOUT_NS:
+        elif waited_ns > IDLE_TIMEOUT_NS and self.is_between_requests() and not self._write_blocked_since_ns:
             self.close(CloseReason.IDLE)
 
     def _record_write_progress(self, now: int) -> None:
@@ -309,7 +313,7 @@
         if not self._write_blocked_since_ns or self._transport is None:
             self._write_buffer_bytes = 0
             return
-        size_bytes = self._transport.get_write_buffer_size()
+        size_bytes = self.unwritten_buffer_bytes()
         if size_bytes < self._write_buffer_bytes:
             self._write_blocked_since_ns = now
         self._write_buffer_bytes = size_bytes
--- a/gateway/request_table.py
+++ b/gateway/request_table.py
@@ -11,7 +11,7 @@
 MAX_REQUEST_ID = 0xFFFFFFFF
 """Highest request ID, after which they continue at 0; the simulator protocol has 32 bits for them."""
 
-OPEN_REQUEST_BYTES = 4_000
+OPEN_REQUEST_BYTES = 3_000
 """Size of an open request besides its payload, bytes: its objects in the gateway and in the balancer."""
 
 
--- a/gateway/resource_budget.py
+++ b/gateway/resource_budget.py
@@ -4,7 +4,6 @@
 
 import resource
 from contextlib import suppress
-from pathlib import Path
 from typing import NamedTuple
 
 __all__ = ["ResourceBudget", "peer_memory_bytes", "private_memory_bytes"]
@@ -61,8 +60,9 @@
 
 def private_memory_bytes() -> int:
     """Return the private memory of this process: without the pages of files and libraries (proc(5))."""
-    with suppress(OSError, ValueError, IndexError):
-        _total, resident, shared, *_ = map(int, Path("/proc/self/statm").read_text().split())
+    with suppress(OSError, ValueError):
+        with open("/proc/self/statm", encoding="ascii") as file:
+            _total, resident, shared, *_others = map(int, file.read().split())
         if resident > shared:
             return (resident - shared) * PAGE_BYTES
     return DEFAULT_PROGRAM_BYTES
--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -9,10 +9,15 @@
 
 import pytest
 
+from gateway.client.response_queue import MAX_PIPELINED
 from tests.support.loopback import Client, FakeEndpoint, request
 from tests.support.memory import CROWD, MAX_BODY_BYTES, MEMORY_MB, LimitedGateway
 
 MANY_SHORT_FIELDS = b"GET /read HTTP/1.1\r\n" + b"".join(b"n%d: %s\r\n" % (n, b"v" * 155) for n in range(98))
+LARGE_RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % MAX_BODY_BYTES
+) + b"r" * MAX_BODY_BYTES
+SHORT_REQUESTS = b"GET / HTTP/1.1\r\n\r\n" * 3600
 FLOOD_S = 4.0
 """Time for which a client floods the gateway: shorter than the timeout of its requests."""
 
@@ -50,3 +55,37 @@
         await client.writer.drain()
     assert await gateway.peak_mb() <= MEMORY_MB
     await reading
+
+
+async def _respond(endpoint: FakeEndpoint) -> None:
+    """Respond to each request with a large body."""
+    while True:
+        (await endpoint.received.get()).reply(LARGE_RESPONSE)
+
+
+async def test_responses_that_are_not_read_stay_within_the_memory(tmp_path: Path) -> None:
+    """Report 168279: the same class of fault for large responses."""
+    endpoint = FakeEndpoint(reply=None)
+    gateway = await LimitedGateway(tmp_path).start(endpoint)
+    responding = asyncio.create_task(_respond(endpoint))
+    peers = await gateway.crowd(
+        lambda peer: b"".join(request(request_id=f"p{peer}-{number}") for number in range(MAX_PIPELINED))
+    )
+    await asyncio.sleep(1.0)  # the time in which the responses arrive
+    for peer in peers:
+        peer.close()
+    assert await gateway.peak_mb() <= MEMORY_MB
+    responding.cancel()
+
+
+@pytest.mark.parametrize("first", [b"", request(request_id="%d")], ids=["alone", "behind an open request"])
+async def test_floods_of_short_requests_stay_within_the_memory(first: bytes, tmp_path: Path) -> None:
+    """Report 168279: a read of 16 KiB became hundreds of parsed requests and queued responses."""
+    endpoint = FakeEndpoint(reply=None)
+    gateway = await LimitedGateway(tmp_path).start(endpoint)
+    peers = await gateway.crowd(lambda peer: first.replace(b"%d", b"%d" % peer) + SHORT_REQUESTS)
+    for peer in peers:
+        peer.close()
+    responding = asyncio.create_task(_respond(endpoint))
+    assert await gateway.peak_mb() <= MEMORY_MB
+    responding.cancel()
--- /dev/null
+++ b/tests/gateway/test_memory_reclaim.py
@@ -0,0 +1,202 @@
+"""What a gateway does when its memory budget is exhausted: which peer gets which response."""
+
+from __future__ import annotations
+
+import socket
+from collections import Counter
+
+import pytest
+
+from balancer import MS, SECOND
+from gateway.client.timeouts import SLOW_CLIENT_TIMEOUT_NS
+from gateway.framing import HEADER_OBJECT_BYTES
+from gateway.memory_budget import Priority
+from gateway.telemetry import CounterName, Telemetry
+from tests.support.event_control import BlockingClient
+from tests.support.loopback import (
+    CLOSING_RESPONSE,
+    Client,
+    FakeEndpoint,
+    GatewayHarness,
+    request,
+    wait_until,
+)
+from tests.support.stub_balancers import SingleAttemptBalancer
+
+BODY_BYTES = 60_000
+INCOMPLETE_REQUEST = request("once", request_id="half", body=b"x" * BODY_BYTES)[:-1]
+LARGE_RESPONSE = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES
+LARGE_RESPONSE += b"r" * BODY_BYTES
+
+
+def limit_free_bytes(harness: GatewayHarness, free_bytes: int) -> None:
+    """Leave the memory budget of a gateway this many bytes from now on."""
+    budget = harness.gateway.memory_budget
+    budget.limit_bytes = budget.used_bytes + free_bytes
+
+
+class ReclaimCounter(Counter[Priority]):
+    """Counts the charges of a gateway that were reclaimed, by kind."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        super().__init__()
+        count = Telemetry.count
+
+        def count_and_record(telemetry: Telemetry, name: str, detail: str = "") -> None:
+            if name == CounterName.RECLAIMED:
+                self[Priority[detail.upper()]] += 1
+            count(telemetry, name, detail)
+
+        monkeypatch.setattr(Telemetry, "count", count_and_record)
+
+
+@pytest.fixture
+def reclaimed(monkeypatch: pytest.MonkeyPatch) -> ReclaimCounter:
+    return ReclaimCounter(monkeypatch)
+
+
+async def send_incomplete(harness: GatewayHarness, client: Client) -> None:
+    """Send all but the last byte of a request, and wait until it is stored."""
+    budget = harness.gateway.memory_budget
+    expected_bytes = budget.used_bytes + BODY_BYTES
+    client.send(INCOMPLETE_REQUEST)
+    await wait_until(lambda: budget.used_bytes >= expected_bytes)
+
+
+async def test_incomplete_requests_are_answered_oldest_first_and_useful_clients_last(
+    reclaimed: ReclaimCounter,
+) -> None:
+    async with GatewayHarness() as harness:
+        await harness.start(FakeEndpoint())
+        useful = await harness.connect()
+        assert (await useful.exchange(request()))[0] == 200
+        await send_incomplete(harness, useful)
+        new_clients = [await harness.connect() for _ in range(3)]
+        for client in new_clients[:2]:
+            await send_incomplete(harness, client)
+        limit_free_bytes(harness, BODY_BYTES // 2)
+        new_clients[2].send(INCOMPLETE_REQUEST)
+        assert (await new_clients[0].read_response())[::2] == (
+            503,
+            b"no memory for the rest of the request\n",
+        )
+        assert await new_clients[0].reader.read() == b""
+        assert reclaimed[Priority.INCOMPLETE_REQUEST] == 1
+        for client in (useful, *new_clients[1:]):  # the others are completed
+            assert (await client.exchange(b"x"))[0] in (200, 400)  # 400: the id is that of an open request
+
+
+async def test_a_complete_request_displaces_an_incomplete_one_but_no_response() -> None:
+    async with GatewayHarness() as harness:
+        endpoint = FakeEndpoint(reply=None)
+        await harness.start(endpoint, make_balancer=SingleAttemptBalancer)
+        incomplete, complete, late = [await harness.connect() for _ in range(3)]
+        complete.send(request(request_id="warm-up"))
+        (await endpoint.received.get()).reply(CLOSING_RESPONSE)
+        assert (await complete.read_response())[0] == 200
+        await send_incomplete(harness, incomplete)
+        limit_free_bytes(harness, 0)
+        complete.send(request("once", request_id="c1", body=b"x" * 1000))
+        received = await endpoint.received.get()
+        assert (await incomplete.read_response())[0] == 503
+        limit_free_bytes(harness, 0)
+        assert (await late.exchange(request("once", request_id="c2")))[0] == 503
+        received.reply(CLOSING_RESPONSE)
+        assert (await complete.read_response())[0] == 200
+
+
+async def test_a_request_that_large_responses_wait_for_is_failed(
+    reclaimed: ReclaimCounter,
+) -> None:
+    async with GatewayHarness() as harness:
+        endpoint = FakeEndpoint(reply=None)
+        await harness.start(endpoint, make_balancer=SingleAttemptBalancer)
+        client = await harness.connect()
+        client.send(b"".join(request(request_id=f"r{number}") for number in range(4)))
+        received = {
+            item.headers["x-request-id"]: item for item in [await endpoint.received.get() for _ in range(4)]
+        }
+        limit_free_bytes(harness, 2 * BODY_BYTES)
+        for number in (1, 2, 3):
+            received[f"r{number}"].reply(LARGE_RESPONSE)
+        responses = [await client.read_response() for _ in range(4)]
+        assert [response[0] for response in responses] == [502, 200, 200, 200]
+        assert all(len(response[2]) == BODY_BYTES for response in responses[1:])
+        assert reclaimed[Priority.PIPELINED_REQUESTS] >= 1
+
+
+async def test_the_client_that_does_not_read_its_response_is_closed(
+    reclaimed: ReclaimCounter,
+) -> None:
+    async with GatewayHarness() as harness:
+        endpoint = FakeEndpoint(reply=None)
+        await harness.start(endpoint, make_balancer=SingleAttemptBalancer)
+        server, budget = harness.gateway.server, harness.gateway.memory_budget
+        peer = socket.socket()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        peer.connect(harness.gateway_address)
+        unwritten_from = budget.used_bytes + BODY_BYTES
+        number = 0
+        while budget.used_bytes < unwritten_from:  # until the system's buffers are full
+            peer.sendall(request(request_id=f"p{number}"))
+            number += 1
+            (await endpoint.received.get()).reply(LARGE_RESPONSE)
+            await wait_until(lambda: not harness.gateway.dispatcher.open_requests())
+            await wait_until(lambda: not harness.gateway.upstream.open_connections)
+        limit_free_bytes(harness, 0)
+        reading = await harness.connect()
+        reading.send(request(request_id="reading"))
+        await wait_until(lambda: server.open_connections == 1)
+        budget.limit_bytes += BODY_BYTES
+        (await endpoint.received.get()).reply(CLOSING_RESPONSE)
+        assert (await reading.read_response())[0] == 200
+        assert reclaimed[Priority.UNREAD_RESPONSE] == 1
+        peer.close()
+
+
+@pytest.mark.parametrize("progress", [False, True])
+async def test_the_timeout_of_a_slow_reader_runs_from_its_last_progress(
+    progress: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with GatewayHarness() as harness:
+        endpoint = FakeEndpoint(reply=None)
+        await harness.start(endpoint, make_balancer=SingleAttemptBalancer)
+        server, budget = harness.gateway.server, harness.gateway.memory_budget
+        peer = BlockingClient(harness.gateway_address)
+        await wait_until(lambda: server.open_connections == 1)
+        [connection] = server.connections
+        unwritten_from = budget.used_bytes + BODY_BYTES
+        number = 0
+        while budget.used_bytes < unwritten_from:
+            peer.sock.sendall(request(request_id=f"p{number}"))
+            number += 1
+            (await endpoint.received.get()).reply(LARGE_RESPONSE)
+            await wait_until(lambda: not harness.gateway.dispatcher.open_requests())
+            await wait_until(lambda: not harness.gateway.upstream.open_connections)
+        now = connection.waiting_since_ns
+        connection.sweep(now + SECOND)
+        if progress:
+            left_bytes = connection.unwritten_buffer_bytes() - 1
+            monkeypatch.setattr(connection, "unwritten_buffer_bytes", lambda: left_bytes)
+        connection.sweep(now + SLOW_CLIENT_TIMEOUT_NS - MS)
+        connection.sweep(now + SLOW_CLIENT_TIMEOUT_NS + SECOND)
+        assert connection.is_closing is not progress
+        peer.close()
+
+
+async def test_all_charges_end_with_their_connections() -> None:
+    async with GatewayHarness() as harness:
+        await harness.start(FakeEndpoint(reply=CLOSING_RESPONSE))
+        budget = harness.gateway.memory_budget
+        used_bytes = budget.used_bytes
+        clients = [await harness.connect() for _ in range(4)]
+        assert (await clients[0].exchange(request()))[0] == 200
+        await send_incomplete(harness, clients[1])
+        clients[2].send(request()[:-2] + b"n: v\r\n" * 50)
+        await wait_until(lambda: budget.used_bytes > used_bytes + BODY_BYTES + 50 * HEADER_OBJECT_BYTES)
+        assert (await clients[3].exchange(b"nonsense\r\n\r\n"))[0] == 400
+        for client in clients:
+            client.writer.close()
+        await wait_until(lambda: not harness.gateway.server.open_connections)
+        await wait_until(lambda: not harness.gateway.upstream.open_connections)
+        assert budget.used_bytes == used_bytes
