Memory budget: responses of endpoints, and requests that endpoints do not read

Connections to endpoints now charge themselves, a response in part (headers counted as objects) and an unwritten request to the memory budget. If it is spent, and nothing of clients is left to release, the response that has been incomplete for longest is given up: INVALID_RESPONSE, or CONNECT_FAILED if the request was not written. An idle or closed connection stores nothing. Only the open requests that responses wait for are failed, no later ones. The reserve is 5/32 of the memory instead of 1/8.

A form of the second test whose rounds took longer than the idle timeout of 2 s had its connections closed between two requests and was changed to new connections for each round.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -400,10 +400,10 @@
         self._update_charge()
 
     def _fail_open_requests(self) -> None:
-        """Fail the open requests, so that the responses that wait for them can be written."""
+        """Fail the open requests that responses wait for, so that these can be written."""
         self.queue.release_errors()
-        for exchange in list(self.queue):  # a copy, as the responses leave the queue
-            if exchange.response is None and exchange.request is not None:
+        for exchange in self.queue.blocking_exchanges():
+            if exchange.request is not None:
                 self._server.dispatcher.fail_request(exchange.request, GatewayReason.MEMORY_EXHAUSTED)
         self.flush()
 
--- a/gateway/client/request_parser.py
+++ b/gateway/client/request_parser.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from ..framing import HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
+from ..framing import BODY_GROWTH_DIVISOR, HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, field_value
 from .errors import InvalidRequestError
 
@@ -24,8 +24,6 @@
 
 PARSED_REQUEST_BYTES = 400
 """Size of a parsed request besides its headers, target and body, bytes."""
-BODY_GROWTH_DIVISOR = 8
-"""A body that is being received takes up to this part more than its length, so that it can grow."""
 
 
 class ParsedRequest(NamedTuple):
--- a/gateway/client/response_queue.py
+++ b/gateway/client/response_queue.py
@@ -47,6 +47,13 @@
         self.response_bytes -= len(exchange.response)
         return exchange
 
+    def blocking_exchanges(self) -> list[Exchange]:
+        """Return the exchanges without a response that are followed by one with a response."""
+        exchanges = list(self)
+        while exchanges and exchanges[-1].response is None:
+            exchanges.pop()
+        return [exchange for exchange in exchanges if exchange.response is None]
+
     def discard_all(self) -> None:
         """Remove all exchanges."""
         self.clear()
--- a/gateway/framing.py
+++ b/gateway/framing.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 
 __all__ = [
+    "BODY_GROWTH_DIVISOR",
     "HEADER_OBJECT_BYTES",
     "MAX_FRAMING_BYTES",
     "MAX_HEAD_BYTES",
@@ -28,6 +29,8 @@
 """Maximum number of bytes that a parser is fed at once."""
 HEADER_OBJECT_BYTES = 192
 """Size of a stored header besides its name and value, bytes: a tuple and two bytes objects."""
+BODY_GROWTH_DIVISOR = 8
+"""A body that is being received takes up to this part more than its length, so that it can grow."""
 _END_OF_LINE_AND_HEAD = b"\n\r\n"
 
 
--- a/gateway/gateway.py
+++ b/gateway/gateway.py
@@ -61,6 +61,7 @@
             budget.endpoint_connections,
             settings.limits.connect_timeout_ns,
             settings.limits.idle_timeout_ns,
+            self.memory_budget,
         )
         self.discovery = Discovery(
             loop,
--- a/gateway/resource_budget.py
+++ b/gateway/resource_budget.py
@@ -16,7 +16,7 @@
 CLIENT_SHARE = 0.55
 """Share of the connection descriptors that clients may use, so that any number of clients leaves the rest for
 endpoint connections."""
-RESERVED_MEMORY_SHARE = 0.125
+RESERVED_MEMORY_SHARE = 5 / 32
 """Share of the memory for what is stored only within one callback, and for gaps between stored objects."""
 MIN_PEER_MEMORY_SHARE = 0.125
 """Share of the memory that peers may use at least, even if the program itself leaves less."""
--- a/gateway/upstream/connection.py
+++ b/gateway/upstream/connection.py
@@ -14,6 +14,7 @@
 from balancer import Outcome
 
 from ..limited_read import LimitedReadProtocol
+from ..memory_budget import Charge, MemoryBudget, Priority
 from ..sockets import poll_socket, shut_down
 from ..timers import Timer, now_ns
 from .attempt import Attempt
@@ -55,9 +56,16 @@
 """Allowed next states of each state."""
 
 
+CONNECTION_BYTES = 5_000
+"""Size in memory of a connection that stores nothing of a request or response, bytes."""
+
+
 class ConnectionPool(Protocol):
     """The interface of the connection pool that a connection uses."""
 
+    memory_budget: MemoryBudget
+    """The budget to which connections charge what they store."""
+
     def release(self, connection: EndpointConnection) -> None:
         """Return a connection whose response is complete; it becomes idle or is closed."""
 
@@ -66,9 +74,13 @@
 
 
 class EndpointConnection(LimitedReadProtocol):
-    """A connection to an endpoint, with at most one attempt in flight."""
+    """A connection to an endpoint, with at most one attempt in flight.
+
+    A partly received response or partly written request is charged to the memory budget.
+    """
 
     __slots__ = (
+        "_charge",
         "_pool",
         "_response",
         "attempt",
@@ -95,6 +107,8 @@
         """The timer for the time limit of the connect."""
         self.idle_since_ns = 0
         self._response = ResponseParser()
+        self._charge = Charge(pool.memory_budget, self._reclaim)
+        self._charge.set(CONNECTION_BYTES)
 
     def was_established(self) -> bool:
         """Whether the connection was established, even if it has closed since.
@@ -148,7 +162,6 @@
 
     def send(self, attempt: Attempt) -> None:
         """Send an attempt on this idle connection."""
-        self._response.reset()
         self.attempt = attempt
         attempt.connection = self
         self._write(attempt)
@@ -157,15 +170,21 @@
         transport = self._transport
         assert transport is not None
         self._transition_to(SENDING)
-        transport.write(attempt.serialize(now_ns()))
+        data = attempt.serialize(now_ns())
+        transport.write(data)
         # The transport writes to the socket immediately; its buffer holds what the socket did not accept.
-        if not transport.is_closing() and not transport.get_write_buffer_size():
+        if transport.is_closing():
+            return
+        if transport.get_write_buffer_size():
+            self._charge.set(CONNECTION_BYTES + len(data), Priority.ENDPOINT_RESPONSE)
+        else:
             self._transition_to(AWAITING_RESPONSE)
 
     def resume_writing(self) -> None:
         """Record that the request is completely written to the socket, as the write buffer is empty."""
         if self.state is SENDING:  # otherwise the attempt has already ended
             self._transition_to(AWAITING_RESPONSE)
+            self._update_charge()
 
     # ---- Responses ---------------------------------------------------------------------------------
 
@@ -191,12 +210,32 @@
         attempt = self.attempt
         if attempt is None:
             return
+        if not self._response.is_invalid and not self._response.is_complete:
+            self._update_charge()
+            return
         if self._response.is_invalid:
             log.warning("invalid response from %s: %s", self.endpoint.address, self._response.error)
             self.end_attempt(Outcome.INVALID_RESPONSE)
-        elif self._response.is_complete:
+        else:
             self._complete(attempt)
 
+    @property
+    def stored_bytes(self) -> int:
+        """Size in memory of what the connection has received of a response."""
+        return self._response.stored_bytes
+
+    def _update_charge(self) -> None:
+        """Charge what has been received of a response to the memory budget."""
+        stored_bytes = self.stored_bytes
+        self._charge.set(
+            CONNECTION_BYTES + stored_bytes, Priority.ENDPOINT_RESPONSE if stored_bytes else None
+        )
+
+    def _reclaim(self, _: Priority) -> None:
+        """Give the attempt up, and release what is stored of its request or response."""
+        log.warning("attempt at %s given up: the memory budget is exhausted", self.endpoint.address)
+        self.end_attempt(self._outcome_of_connection_loss())
+
     def _complete(self, attempt: Attempt) -> None:
         response = self._response.response()
         outcome = classify_response(response)
@@ -217,8 +256,11 @@
     # ---- End of attempts and of the connection -----------------------------------------------------
 
     def mark_idle(self, now: int) -> None:
-        """Mark the connection as idle from `now`, monotonic ns."""
+        """Mark the connection as idle from `now`, monotonic ns; what it received is released."""
         self._transition_to(IDLE)
+        self._response.reset()
+        if self._charge.size_bytes != CONNECTION_BYTES:
+            self._charge.set(CONNECTION_BYTES)
         self.idle_since_ns = now
 
     def end_attempt(self, outcome: Outcome) -> None:
@@ -234,6 +276,8 @@
     def close(self) -> None:
         """Close the connection; its attempt, if any, must have ended."""
         self._transition_to(CLOSED)
+        self._response.reset()  # connection_lost may follow only in the next iteration of the event loop
+        self._charge.close()
         self.abort()
 
     def abort(self) -> None:
@@ -253,6 +297,7 @@
         self._pool.remove_connection(self)
         self.task = None
         self._response.release()
+        self._charge.close()
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             attempt.end(outcome)
--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from ..framing import MAX_HEAD_BYTES, FramingLimit, split_read
+from ..framing import BODY_GROWTH_DIVISOR, HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, Response, field_value
 
 __all__ = [
@@ -116,6 +116,18 @@
             return False
         return not (self.is_complete and isinstance(self.error, ExtraResponseError))
 
+    @property
+    def stored_bytes(self) -> int:
+        """Size in memory of what is received of the response, approximately and rather too high."""
+        body_bytes = len(self._body)
+        return (
+            len(self._headers) * HEADER_OBJECT_BYTES
+            + self._header_bytes
+            + self._framing.size_bytes  # includes a field that is incomplete
+            + body_bytes
+            + body_bytes // BODY_GROWTH_DIVISOR
+        )
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes; the rest of an invalid response is discarded."""
         self.has_begun = True
--- a/gateway/upstream/upstream.py
+++ b/gateway/upstream/upstream.py
@@ -9,6 +9,7 @@
 from balancer import MS, SECOND, EndpointId, EndpointState, Outcome
 
 from ..discovery import ListedEndpoint
+from ..memory_budget import MemoryBudget
 from ..timers import Timers, now_ns
 from .attempt import Attempt
 from .connection import EndpointConnection
@@ -35,8 +36,11 @@
         max_connections: int,
         connect_timeout_ns: int,
         idle_timeout_ns: int,
+        memory_budget: MemoryBudget,
     ) -> None:
         """`idle_timeout_ns` is the endpoints' own idle timeout; either timeout may be 0 for its default."""
+        self.memory_budget = memory_budget
+        """The budget to which connections charge what they store."""
         self._loop = loop
         self._timers = timers
         self._max_connections = max_connections
--- a/scale/headless.py
+++ b/scale/headless.py
@@ -126,6 +126,7 @@
             MAX_CONNECTIONS,
             settings.limits.connect_timeout_ns,
             settings.limits.idle_timeout_ns,
+            self._dispatcher.memory_budget,
         )
         self._discovery = _TimedDiscovery(
             loop,
--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -10,13 +10,15 @@
 import pytest
 
 from gateway.client.response_queue import MAX_PIPELINED
-from tests.support.loopback import Client, FakeEndpoint, request
+from tests.support.loopback import CLOSING_RESPONSE, Client, FakeEndpoint, request
 from tests.support.memory import CROWD, MAX_BODY_BYTES, MEMORY_MB, LimitedGateway
 
 MANY_SHORT_FIELDS = b"GET /read HTTP/1.1\r\n" + b"".join(b"n%d: %s\r\n" % (n, b"v" * 155) for n in range(98))
 LARGE_RESPONSE = (
     b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % MAX_BODY_BYTES
 ) + b"r" * MAX_BODY_BYTES
+KEEP_ALIVE_RESPONSE = LARGE_RESPONSE.replace(b"Connection: close\r\n", b"")
+ENDPOINTS = 300
 SHORT_REQUESTS = b"GET / HTTP/1.1\r\n\r\n" * 3600
 FLOOD_S = 4.0
 """Time for which a client floods the gateway: shorter than the timeout of its requests."""
@@ -89,3 +91,33 @@
     responding = asyncio.create_task(_respond(endpoint))
     assert await gateway.peak_mb() <= MEMORY_MB
     responding.cancel()
+
+
+async def test_endpoints_that_stop_in_their_responses_stay_within_the_memory(tmp_path: Path) -> None:
+    """Report 168279: the same class of fault for partly received responses of endpoints."""
+    endpoints = [FakeEndpoint(f"h{number}", reply=LARGE_RESPONSE[:-1]) for number in range(ENDPOINTS)]
+    gateway = await LimitedGateway(tmp_path).start(*endpoints)
+    peers = await gateway.crowd(lambda peer: request(request_id=f"p{peer}"))
+    await asyncio.sleep(1.0)  # the time in which the responses arrive
+    for endpoint in endpoints:
+        endpoint.reply = CLOSING_RESPONSE
+    for peer in peers:
+        peer.close()
+    assert await gateway.peak_mb() <= MEMORY_MB
+
+
+async def test_idle_endpoint_connections_store_no_responses(tmp_path: Path) -> None:
+    """Report 168279: each idle connection stored the last response that it had received."""
+    endpoints = [FakeEndpoint(f"h{number}", reply=KEEP_ALIVE_RESPONSE) for number in range(ENDPOINTS)]
+    gateway = await LimitedGateway(tmp_path).start(*endpoints)
+    for round_number in range(4):
+        clients = [await gateway.connect() for _ in range(CROWD // 4)]
+        names = [f"r{round_number}-{number}" for number in range(len(clients))]
+        await asyncio.gather(
+            *(client.exchange(request(request_id=name)) for client, name in zip(clients, names, strict=True))
+        )
+        for client in clients:
+            client.writer.close()
+    connections = sum(endpoint.connections for endpoint in endpoints)
+    assert connections >= CROWD // 4
+    assert await gateway.peak_mb() <= MEMORY_MB
