Memory budget: discovery's lists, names and decoded objects

A call charges the received part of a line or object, three copies of it; the size of an update is estimated from its commas and brackets before it is decoded, and its entries are decoded one by one (msgspec.Raw; the standard library decodes what msgspec does not accept, as before). An update without memory for it ends the call and changes nothing; incomplete requests are released for it first. The record of each listed endpoint is charged; a new endpoint without memory is dropped and logged, known ones follow their changes. A quarter of the budget is guaranteed to records and 16 KiB to an update, so that a crowd of clients cannot hide endpoints.

--- a/gateway/discovery/__init__.py
+++ b/gateway/discovery/__init__.py
@@ -2,6 +2,7 @@
 
 from .call import CallState, DiscoveryCall
 from .discovery import Discovery
+from .endpoint_capacity import EndpointCapacity
 from .endpoint_list_parser import EndpointListParser, EndpointListUpdate, ListedEndpoint
 from .errors import DiscoveryCallError, EndpointListError
 
@@ -10,6 +11,7 @@
     "Discovery",
     "DiscoveryCall",
     "DiscoveryCallError",
+    "EndpointCapacity",
     "EndpointListError",
     "EndpointListParser",
     "EndpointListUpdate",
--- a/gateway/discovery/call.py
+++ b/gateway/discovery/call.py
@@ -9,16 +9,19 @@
 from balancer import SECOND
 
 from ..limited_read import LimitedReadProtocol
+from ..memory_budget import Charge, MemoryBudget
 from ..timers import now_ns
 from .errors import (
     ConnectionLostError,
     DiscoveryCallError,
+    MemoryExhaustedError,
     OversizedLineError,
     ResponseEndedError,
     TruncatedUpdateError,
 )
 from .object_assembler import ObjectAssembler
 from .response_reader import ResponseReader
+from .update_decoder import SMALL_UPDATE_BYTES
 
 __all__ = ["MAX_LINE_BYTES", "CallOwner", "CallState", "DiscoveryCall"]
 
@@ -39,6 +42,8 @@
 """Maximum time without data within a multi-line object; after that the call has timed out."""
 MAX_LINE_BYTES = 8 * 1024 * 1024
 """Maximum length of a line or of a multi-line object."""
+BUFFER_COPIES = 3
+"""Number of copies of a line or object in memory when its last part arrives."""
 
 
 class CallState(Enum):
@@ -60,6 +65,8 @@
     """Incremented by each change of the address and by each reconnection to the same one."""
     generation: int
     """The last generation, cached or received, as numbered by `address`; 0 for none."""
+    memory_budget: MemoryBudget
+    """The budget to which calls charge what they receive."""
 
     def on_update(self, call: DiscoveryCall, text: bytes) -> bool:
         """Handle the JSON text of an update; return False if it is incomplete and more lines must follow."""
@@ -85,6 +92,8 @@
         """The task that opens the connection."""
         self._response = ResponseReader(splits_lines=is_watch)
         self._partial_object = ObjectAssembler()
+        self._budget = owner.memory_budget
+        self._charge = Charge(self._budget)
         self._started_ns = now_ns()
         self._last_received_ns = 0
 
@@ -123,8 +132,13 @@
         for line in self._response.take_lines():
             if not self.is_closed:  # the owner may close the call while it handles a line
                 self._handle_line(line)
-        if self._response.buffered_size + len(self._partial_object) > MAX_LINE_BYTES:
+        buffered_bytes = self._response.buffered_size + len(self._partial_object)
+        if not self.is_closed:
+            self._charge.set(buffered_bytes * BUFFER_COPIES)
+        if buffered_bytes > MAX_LINE_BYTES:
             self._owner.on_call_ended(self, OversizedLineError())
+        elif self._budget.is_exceeded and buffered_bytes > SMALL_UPDATE_BYTES:
+            self._owner.on_call_ended(self, MemoryExhaustedError())
         elif self._response.is_complete and not self.is_closed:
             self._handle_end()
 
@@ -169,6 +183,7 @@
     def close(self) -> None:
         """Close the call without notifying its owner."""
         self.state = CallState.CLOSED
+        self._charge.close()
         if self._transport is not None:
             self._transport.abort()
         elif self.task is not None:
--- a/gateway/discovery/discovery.py
+++ b/gateway/discovery/discovery.py
@@ -10,6 +10,7 @@
 
 from balancer import SECOND, UpdateKind
 
+from ..memory_budget import MemoryBudget
 from ..timers import Timers, now_ns
 from .backoff import Backoff, jittered_ns
 from .call import DiscoveryCall
@@ -20,7 +21,9 @@
     DiscoveryCallError,
     EndpointListError,
     InvalidUpdateError,
+    UpdateTooLargeError,
 )
+from .update_decoder import decode_update
 
 __all__ = ["FAST_RECONNECT_PERIOD_NS", "Discovery"]
 
@@ -48,8 +51,11 @@
         pushed: bool,
         drain_grace_ns: int,
         notify: Callable[[UpdateKind, list[ListedEndpoint]], None],
+        memory_budget: MemoryBudget,
     ) -> None:
         """`pushed`: lists are pushed, not polled; `drain_grace_ns`: how long a draining endpoint serves."""
+        self.memory_budget = memory_budget
+        """The budget to which calls charge what they receive."""
         self._loop = loop
         self._timers = timers
         self.address = address
@@ -167,12 +173,13 @@
     def on_update(self, call: DiscoveryCall, text: bytes) -> bool:
         """Apply the JSON text of an update; return False if it is incomplete and more lines must follow."""
         try:
-            update = self._parser.parse(json.loads(text), now_ns())
+            document = decode_update(text, self.memory_budget)
+            update = self._parser.parse(document, now_ns(), call is self._fetch_call)
         except json.JSONDecodeError as error:
             if call.is_watch and error.pos >= len(error.doc.rstrip()):
                 return False
             self._reject_update(call, error)
-        except (EndpointListError, ValueError, RecursionError) as error:
+        except (EndpointListError, UpdateTooLargeError, ValueError, RecursionError) as error:
             self._reject_update(call, error)
         else:
             self._apply_update(call, update)
@@ -188,9 +195,8 @@
         self._backoff.reset()
         self._has_list = True
         self.on_heartbeat()
-        is_snapshot = update.is_snapshot or call is self._fetch_call
         # Done last: `generation` must be current when the balancer handles the update.
-        self._notify(UpdateKind.SNAPSHOT if is_snapshot else UpdateKind.DELTA, update.endpoints)
+        self._notify(UpdateKind.SNAPSHOT if update.is_snapshot else UpdateKind.DELTA, update.endpoints)
 
     def on_heartbeat(self) -> None:
         """Record that the gateway is up to date with discovery; called for heartbeats and updates."""
--- a/gateway/discovery/endpoint_list_parser.py
+++ b/gateway/discovery/endpoint_list_parser.py
@@ -7,10 +7,12 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from balancer import EndpointEntry, EndpointId, EndpointState
+from balancer import EndpointEntry, EndpointState
 from balancer.start_times import StartTimes
 
+from .endpoint_capacity import EndpointCapacity
 from .errors import EndpointListError
+from .update_decoder import decode_entry
 
 __all__ = ["EndpointListParser", "EndpointListUpdate", "ListedEndpoint"]
 
@@ -41,6 +43,10 @@
         return ListedEndpoint(self.entry._replace(started_ns=started_ns), self.address)
 
 
+_ParsedInstance = tuple[ListedEndpoint, int]
+"""An endpoint without its start time, and the start time as Unix time in ms; 0 if there is none."""
+
+
 class EndpointListUpdate(NamedTuple):
     """The content of one JSON object of discovery."""
 
@@ -53,15 +59,19 @@
 class EndpointListParser:
     """Parses JSON objects of discovery; maps zones and machine types to their indexes in the settings."""
 
-    def __init__(self, zones: Sequence[str], machine_types: Sequence[str]) -> None:
+    def __init__(
+        self, zones: Sequence[str], machine_types: Sequence[str], capacity: EndpointCapacity
+    ) -> None:
+        self._capacity = capacity
         self._zones = {name: index for index, name in enumerate(zones)}
         self._machine_types = {name: index for index, name in enumerate(machine_types)}
         self.start_times = StartTimes()
 
-    def parse(self, document: Any, now_ns: int) -> EndpointListUpdate:
-        """Parse one decoded JSON object received at `now_ns`, monotonic time.
+    def parse(self, document: Any, now_ns: int, is_fetched: bool = False) -> EndpointListUpdate:
+        """Parse one decoded JSON object received at `now_ns`, monotonic time; a fetched one is a snapshot.
 
-        Invalid entries are logged and dropped.  Raises EndpointListError if the object itself is invalid.
+        Invalid entries are logged and dropped, as are new endpoints for which the memory budget has no
+        capacity.  Raises EndpointListError if the object itself is invalid.
         """
         try:
             generation, instances = int(document["generation"]), document["instances"]
@@ -70,20 +80,42 @@
             raise EndpointListError(repr(error)) from None
         if not isinstance(instances, list) or not isinstance(is_snapshot, bool):
             raise EndpointListError("the field instances or reset is of the wrong type")
-        return EndpointListUpdate(generation, is_snapshot, self._parse_instances(instances, now_ns))
+        is_snapshot = is_snapshot or is_fetched
+        parsed = self._admitted(self._parse_instances(instances), is_snapshot)
+        return EndpointListUpdate(generation, is_snapshot, self._with_start_times(parsed, now_ns))
 
-    def _parse_instances(self, instances: list[Any], now_ns: int) -> list[ListedEndpoint]:
-        endpoints: list[ListedEndpoint] = []
-        start_times_ms: list[tuple[EndpointId, int]] = []  # Unix times, without endpoints that are gone
-        for instance in instances:
+    def _parse_instances(self, instances: list[Any]) -> list[_ParsedInstance]:
+        parsed: list[_ParsedInstance] = []
+        for raw_instance in instances:
+            try:
+                instance = decode_entry(raw_instance)
+            except (ValueError, RecursionError) as error:
+                raise EndpointListError(repr(error)) from None
             try:
-                endpoint, start_time_ms = self._parse_instance(instance)
+                parsed.append(self._parse_instance(instance))
             except _INVALID_FIELD_ERRORS as error:
                 log.warning("invalid endpoint list entry dropped: %r: %.200r", error, instance)
-                continue
-            endpoints.append(endpoint)
-            if start_time_ms and endpoint.entry.state is not EndpointState.GONE:
-                start_times_ms.append((endpoint.entry.endpoint_id, start_time_ms))
+        return parsed
+
+    def _admitted(self, parsed: list[_ParsedInstance], is_snapshot: bool) -> list[_ParsedInstance]:
+        """Return the entries without the new endpoints for which there is no memory."""
+        if is_snapshot:
+            self._capacity.retain({endpoint.entry.endpoint_id for endpoint, _ in parsed})
+        admitted = [
+            (endpoint, start_time_ms)
+            for endpoint, start_time_ms in parsed
+            if self._capacity.admit(endpoint.entry.endpoint_id, endpoint.address[0], endpoint.entry.state)
+        ]
+        if len(admitted) < len(parsed):
+            log.warning("no memory for %d new endpoints, which are dropped", len(parsed) - len(admitted))
+        return admitted
+
+    def _with_start_times(self, parsed: list[_ParsedInstance], now_ns: int) -> list[ListedEndpoint]:
+        start_times_ms = [
+            (endpoint.entry.endpoint_id, start_time_ms)
+            for endpoint, start_time_ms in parsed
+            if start_time_ms and endpoint.entry.state is not EndpointState.GONE
+        ]
         # All start times of an update are converted together: the latest one is the reference for the others.
         start_times_ns = self.start_times.to_monotonic(start_times_ms, now_ns)
         started_ns = {
@@ -91,10 +123,10 @@
             for (endpoint_id, _), start_time_ns in zip(start_times_ms, start_times_ns, strict=True)
         }
         return [
-            endpoint.with_start_time(started_ns.get(endpoint.entry.endpoint_id, 0)) for endpoint in endpoints
+            endpoint.with_start_time(started_ns.get(endpoint.entry.endpoint_id, 0)) for endpoint, _ in parsed
         ]
 
-    def _parse_instance(self, instance: dict[str, Any]) -> tuple[ListedEndpoint, int]:
+    def _parse_instance(self, instance: dict[str, Any]) -> _ParsedInstance:
         """Return the endpoint without its start time, and the start time as Unix time in ms, 0 if none.
 
         Raises one of `_INVALID_FIELD_ERRORS`.
--- a/gateway/discovery/errors.py
+++ b/gateway/discovery/errors.py
@@ -11,10 +11,12 @@
     "HeadTooLongError",
     "InvalidUpdateError",
     "MalformedResponseError",
+    "MemoryExhaustedError",
     "OversizedLineError",
     "ResponseEndedError",
     "TruncatedUpdateError",
     "UnexpectedStatusError",
+    "UpdateTooLargeError",
 ]
 
 
@@ -76,6 +78,20 @@
         super().__init__("line or object too long")
 
 
+class MemoryExhaustedError(DiscoveryCallError):
+    """The memory budget has no capacity for the received part of a line or object."""
+
+    def __init__(self) -> None:
+        super().__init__("no memory for a line or object")
+
+
+class UpdateTooLargeError(DiscoveryCallError):
+    """The memory budget has no capacity for a decoded update of `size_bytes`."""
+
+    def __init__(self, size_bytes: int) -> None:
+        super().__init__(f"no memory for an update of {size_bytes} bytes")
+
+
 class TruncatedUpdateError(DiscoveryCallError):
     """An empty line was received before a multi-line object was complete."""
 
--- a/gateway/gateway.py
+++ b/gateway/gateway.py
@@ -11,7 +11,7 @@
 
 from .client import ClientServer, Listener
 from .configuration import Address, Configuration, TenantTable
-from .discovery import Discovery, EndpointListParser
+from .discovery import Discovery, EndpointCapacity, EndpointListParser
 from .dispatcher import BalancerFactory, Dispatcher
 from .gossip import GossipSocket
 from .loop_monitor import LoopMonitor
@@ -67,10 +67,13 @@
             loop,
             self.timers,
             configuration.discovery_address,
-            EndpointListParser(configuration.zones, configuration.machine_types),
+            EndpointListParser(
+                configuration.zones, configuration.machine_types, EndpointCapacity(self.memory_budget)
+            ),
             not settings.poll_discovery,
             settings.rules.drain_grace_ns,
             self.dispatcher.on_endpoint_list,
+            self.memory_budget,
         )
         self.dispatcher.attach(self.upstream, self.discovery)
         self.timers.on_expiry = self.dispatcher.telemetry.record_lag
--- a/gateway/memory_budget.py
+++ b/gateway/memory_budget.py
@@ -84,6 +84,11 @@
         self._groups: tuple[OrderedDict[Charge, None], ...] = tuple(OrderedDict() for _ in Priority)
         self._is_reclaiming = False
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether the charges exceed the limit, as nothing more can be reclaimed."""
+        return self.used_bytes > self.limit_bytes
+
     def can_add(self, size_bytes: int, least_priority: Priority) -> bool:
         """Whether this size can be added, after reclaiming data of up to `least_priority` if necessary."""
         if self.used_bytes + size_bytes > self.limit_bytes:
--- a/scale/headless.py
+++ b/scale/headless.py
@@ -11,7 +11,13 @@
 from typing import Any
 
 from balancer import MS, Actions, Balancer, EndpointEntry, Settings, UpdateKind
-from gateway.discovery import Discovery, DiscoveryCall, EndpointListParser, ListedEndpoint
+from gateway.discovery import (
+    Discovery,
+    DiscoveryCall,
+    EndpointCapacity,
+    EndpointListParser,
+    ListedEndpoint,
+)
 from gateway.dispatcher import Dispatcher
 from gateway.gateway import SWEEP_INTERVAL_NS
 from gateway.timers import Timers, now_ns
@@ -132,10 +138,11 @@
             loop,
             self._timers,
             discovery_address,
-            EndpointListParser(zones, machine_types),
+            EndpointListParser(zones, machine_types, EndpointCapacity(self._dispatcher.memory_budget)),
             not settings.poll_discovery,
             settings.rules.drain_grace_ns,
             self._on_endpoint_list,
+            self._dispatcher.memory_budget,
         )
         self._upstream.times = self._discovery.times = self.times
         self._dispatcher.attach(self._upstream, self._discovery)
--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 
@@ -121,3 +122,41 @@
     connections = sum(endpoint.connections for endpoint in endpoints)
     assert connections >= CROWD // 4
     assert await gateway.peak_mb() <= MEMORY_MB
+
+
+DENSE_ENTRY, NAMES_PER_UPDATE = b"{},", 100
+
+
+async def _send_dense_list(gateway: LimitedGateway, writer: asyncio.StreamWriter) -> None:
+    size_bytes = 7 << 20
+    text = b'{"generation":50,"reset":true,"instances":[' + DENSE_ENTRY * (size_bytes // len(DENSE_ENTRY))
+    gateway.discovery.write_chunk(writer, text + b"{}]}\n")
+    await writer.drain()
+
+
+async def _send_new_names(gateway: LimitedGateway, writer: asyncio.StreamWriter) -> None:
+    for generation in range(50, 250):
+        entries = [
+            {
+                **FakeEndpoint(f"s-{generation}-{number}").make_entry("terminating"),
+                "hostPort": "127.0.0.1:1",
+                "cell": generation * NAMES_PER_UPDATE + number,
+                "startedAtMs": generation,
+            }
+            for number in range(NAMES_PER_UPDATE)
+        ]
+        gateway.discovery.write_watch_event(writer, generation, entries)
+        await writer.drain()
+
+
+@pytest.mark.parametrize("send", [_send_dense_list, _send_new_names], ids=["dense list", "new names"])
+async def test_lists_of_discovery_stay_within_the_memory(
+    send: Callable[[LimitedGateway, asyncio.StreamWriter], Awaitable[None]], tmp_path: Path
+) -> None:
+    """Report 168279: the same class of fault in discovery, whose limit was 8 MiB of text."""
+    gateway = await LimitedGateway(tmp_path).start(FakeEndpoint())
+    _, writer = await gateway.discovery.calls.get()
+    gateway.discovery.start_watch_response(writer)
+    with suppress(OSError):  # the gateway ends the call
+        await send(gateway, writer)
+    assert await gateway.peak_mb(asyncio.sleep(0.5)) <= MEMORY_MB
