Request ids: an id whose client has left is not forwarded again while it may have run

Cause: the id of an open request was released when its connection was lost, or when its response was written to a client that had sent EOF, although an endpoint had the request.

The id is now retained for 30 s if an attempt was written completely or ended in a way after which it may have run, and the client has left (connection lost, EOF read, or EOF behind a paused read); the same id gets 400. Requests that reached no endpoint release theirs as before. The retained ids are hashes, at most 1/32 of the memory budget, to which they are charged. Not covered: a client that leaves after its response was written to the socket, which the gateway cannot see.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -95,10 +95,7 @@
         self._discard_unhandled()
         self._server.turns.discard(self)
         for exchange in self.queue:
-            if exchange.response is None:
-                self._server.release_request_id(exchange.client_request_id)
-                if exchange.request is not None:
-                    self._server.dispatcher.on_client_gone(exchange.request)
+            self._abandon(exchange)
         self.queue.discard_all()
         self._charge.close()
 
@@ -226,9 +223,14 @@
         """Accept no further request, as the response about to be written closes the connection."""
         self._lifecycle.handle(ConnectionEvent.LAST_REQUEST)
 
-    def release_request_id(self, client_request_id: bytes) -> None:
-        """Allow the X-Request-ID of an answered request to be used again."""
-        self._server.release_request_id(client_request_id)
+    def release_request_id(self, exchange: Exchange) -> None:
+        """Allow the X-Request-ID of an answered request to be used again, unless its client may have left."""
+        request_ids, request = self._server.request_ids, exchange.request
+        may_have_left = self._lifecycle.may_have_left or (self.reading.is_paused and self.client_has_ended())
+        if may_have_left and request is not None and request.may_have_run:
+            request_ids.retain(exchange.client_request_id, now_ns())
+        else:
+            request_ids.release(exchange.client_request_id)
 
     def defer_error(self, exchange: Exchange) -> None:
         """Pace the response to an invalid request, before it is set; see `ResponseQueue`."""
@@ -293,6 +295,12 @@
 
     # Internal helpers.
 
+    def _abandon(self, exchange: Exchange) -> None:
+        """Give up a request whose response cannot reach its client any more."""
+        self.release_request_id(exchange)
+        if exchange.response is None and exchange.request is not None:
+            self._server.dispatcher.on_client_gone(exchange.request)
+
     def _enforce_timeouts(self, now: int) -> None:
         assert self._transport is not None
         waited_ns = now - self.waiting_since_ns
--- a/gateway/client/connection_state.py
+++ b/gateway/client/connection_state.py
@@ -84,7 +84,7 @@
 class ConnectionLifecycle:
     """State of one connection.  Derived flags are stored as attributes because each request reads them."""
 
-    __slots__ = ("client_has_ended", "gateway_has_ended", "is_open", "state")
+    __slots__ = ("client_has_ended", "gateway_has_ended", "is_open", "may_have_left", "state")
 
     def __init__(self) -> None:
         self.state = ConnectionState.OPEN
@@ -94,6 +94,8 @@
         """Whether EOF from the client has been read."""
         self.gateway_has_ended = False
         """Whether the gateway has sent EOF."""
+        self.may_have_left = False
+        """Whether the client has sent EOF, or the connection is lost."""
 
     def handle(self, event: ConnectionEvent) -> None:
         """Apply an event; an illegal event is logged and leaves the state unchanged."""
@@ -104,4 +106,5 @@
         self.state = next_state
         self.is_open = next_state is _State.OPEN
         self.client_has_ended = next_state in (_State.HALF_CLOSED, _State.BOTH_ENDED)
+        self.may_have_left = self.client_has_ended or next_state is _State.CLOSED
         self.gateway_has_ended = next_state in (_State.LINGERING, _State.BOTH_ENDED)
--- a/gateway/client/exchange.py
+++ b/gateway/client/exchange.py
@@ -67,7 +67,7 @@
         if self.response is not None:
             log.error("dropped a second response to one request")
             return
-        self.connection.release_request_id(self.client_request_id)
+        self.connection.release_request_id(self)
         if not self.closes_connection:
             self.closes_connection = self.connection.should_close_after(self)
         if self.closes_connection:
--- a/gateway/client/server.py
+++ b/gateway/client/server.py
@@ -6,12 +6,12 @@
 
 from ..dispatcher import Dispatcher
 from ..loop_monitor import LoopMonitor
-from ..messages import ClientRequest
 from ..telemetry import CloseReason, CounterName, GatewayReason
 from .admission import ConnectionTable
 from .connection import ClientConnection
 from .errors import InvalidRequestError
 from .exchange import Exchange
+from .request_ids import RequestIds
 from .request_parser import ParsedRequest
 from .turn_queue import TurnQueue
 from .validation import RequestValidator
@@ -44,7 +44,7 @@
         self._tenant_slots = tenant_slots
         self._validator = RequestValidator(settings, tenant_slots)
         self._last_connection_number = 0
-        self._open_request_ids: set[bytes] = set()  # X-Request-ID of each request without a response
+        self.request_ids = RequestIds(dispatcher.memory_budget)
 
     def on_settings(self, settings: Settings) -> None:
         """Apply new settings, also to the balancer."""
@@ -101,6 +101,7 @@
         """Run the periodic maintenance of all connections; `now` in ns."""
         for connection in list(self.connections):
             connection.sweep(now)
+        self.request_ids.sweep(now)
 
     # Requests.
 
@@ -116,7 +117,7 @@
             return
         try:
             client_request = self._validator.validate(request)
-            self._check_id_not_open(client_request)
+            self._check_id(client_request.client_request_id)
         except InvalidRequestError as error:
             self._respond_invalid(exchange, request, error, is_paced=True)
             return
@@ -137,23 +138,21 @@
             return
         connection.has_sent_valid_request = True
         exchange.client_request_id = client_request.client_request_id
-        self._open_request_ids.add(client_request.client_request_id)
+        self.request_ids.add(client_request.client_request_id)
         exchange.request = self.dispatcher.accept_request(exchange, client_request, arrived_ns)
 
-    def release_request_id(self, client_request_id: bytes) -> None:
-        """Allow the X-Request-ID of a request that is answered or whose client is gone to be used again."""
-        self._open_request_ids.discard(client_request_id)
-
     def _respond_readiness(self, exchange: Exchange) -> None:
         if self.ready:
             exchange.respond(200, [], b"ready\n")
         else:
             exchange.respond(503, [], b"not ready\n")
 
-    def _check_id_not_open(self, client_request: ClientRequest) -> None:
-        """Reject a request whose X-Request-ID is already open, as both requests would be processed."""
-        if client_request.client_request_id in self._open_request_ids:
+    def _check_id(self, client_request_id: bytes) -> None:
+        """Check that no request with this X-Request-ID is open or may have run, as it would run twice."""
+        if self.request_ids.is_open(client_request_id):
             raise InvalidRequestError(400, "a request with this id is open", counter="id_in_use")
+        if self.request_ids.is_retained(client_request_id):
+            raise InvalidRequestError(400, "a request with this id may have run", counter="id_retained")
 
     def _respond_invalid(
         self, exchange: Exchange, request: ParsedRequest, error: InvalidRequestError, is_paced: bool
--- a/gateway/dispatcher.py
+++ b/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 
 from balancer import (
     MS,
+    NOT_PROCESSED,
     Actions,
     AttemptResult,
     Balancer,
@@ -270,6 +271,7 @@
         """Handle the end of an attempt: the client gets its response before the balancer gets the result."""
         request.in_flight.pop(attempt.number, None)
         self._timers.cancel(attempt.timer)
+        request.has_reached_endpoint = request.has_reached_endpoint or outcome not in NOT_PROCESSED
         self.telemetry.count(CounterName.ATTEMPT, outcome.name.lower())
         request.trace.add_step(now_ns(), Phase.ATTEMPT_ENDED, outcome.name.lower())
         try:
--- a/gateway/request.py
+++ b/gateway/request.py
@@ -81,6 +81,7 @@
         "attempts_started",
         "client_check_from_ns",
         "deadline_ns",
+        "has_reached_endpoint",
         "in_flight",
         "is_ended",
         "payload",
@@ -113,6 +114,8 @@
         self.is_ended = False
         """Whether the state is ENDED; an attribute, as it is faster to read than the state."""
         self.attempts_started = 0
+        self.has_reached_endpoint = False
+        """Whether an attempt has ended after which an endpoint may have processed the request."""
         self.in_flight: dict[int, Attempt] = {}
 
     @property
@@ -142,6 +145,14 @@
         self.is_ended = True
         return exchange
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have processed the request, or may yet."""
+        return self.has_reached_endpoint or any(
+            attempt.connection is not None and attempt.connection.is_request_written()
+            for attempt in self.in_flight.values()
+        )
+
     def has_attempt_on_open_connection(self) -> bool:
         """Whether an attempt in flight has an established connection, so that its sending has begun."""
         return any(
--- a/tests/gateway/test_client_close.py
+++ b/tests/gateway/test_client_close.py
@@ -11,8 +11,10 @@
 
 import pytest
 
-from balancer import MS, AttemptResult
+from balancer import MS, SECOND, AttemptResult
+from gateway.client.request_ids import RETENTION_NS, RequestIds
 from gateway.client.response_queue import MAX_PIPELINED
+from gateway.memory_budget import MemoryBudget
 from gateway.timers import now_ns
 from tests.support.event_control import BlockingClient, CapturedTimers, DelayedConnects, UnreportedConnects
 from tests.support.loopback import (
@@ -352,3 +354,64 @@
             assert client.sock.makefile("rb").read().count(b"HTTP/1.1 503 ") == 1
         await check_only_other_request_is_sent(harness, endpoint)
         client.sock.close()
+
+
+@each_close
+@pytest.mark.parametrize("is_forwarded", [True, False])
+async def test_an_id_that_comes_again_after_its_client_has_left_does_not_run_twice(
+    is_forwarded: bool, close_client: CloseClient
+) -> None:
+    """Report 168279: the id was free again once its client had left, although its request had been sent."""
+    async with GatewayHarness() as harness:
+        endpoint = FakeEndpoint(reply=None)
+        await harness.start(endpoint, **SHORT_OBJECTIVES)
+        dispatcher = harness.gateway.dispatcher
+        busy, leaving = await harness.connect(), await harness.connect()
+        if not is_forwarded:  # an unused endpoint gets one attempt at a time
+            busy.send(request("once", request_id="busy"))
+            forwarded = await endpoint.received.get()
+        leaving.send(request("once", request_id="again"))
+        if is_forwarded:
+            forwarded = await endpoint.received.get()
+        await wait_until(lambda: len(dispatcher.open_requests()) == 2 - is_forwarded)
+        request_again = dispatcher.open_requests()[-1]
+        close_client(leaving)
+        await wait_until(lambda: request_again.is_half_closed or request_again.is_ended)
+        forwarded.reply(CLOSING_RESPONSE)
+        await wait_until(lambda: not dispatcher.open_requests())
+        endpoint.reply = CLOSING_RESPONSE
+        status, _, body = await (await harness.connect()).exchange(request("once", request_id="again"))
+        assert (status, endpoint.received.empty()) == ((400, True) if is_forwarded else (200, False))
+        assert (b"may have run" in body) is is_forwarded
+
+
+async def test_an_id_is_retained_for_a_limited_time() -> None:
+    async with GatewayHarness() as harness:
+        endpoint = FakeEndpoint(reply=None)
+        await harness.start(endpoint, make_balancer=SingleAttemptBalancer)
+        ids = harness.gateway.server.request_ids
+        leaving = await harness.connect()
+        leaving.send(request(request_id="again"))
+        await endpoint.received.get()
+        close(leaving)
+        await wait_until(lambda: not harness.gateway.server.open_connections)
+        assert not ids.is_open(b"again")
+        assert ids.is_retained(b"again")
+        harness.gateway.server.sweep(now_ns() + RETENTION_NS + SECOND)
+        assert not ids.is_retained(b"again")
+
+
+def test_the_number_of_retained_ids_is_bounded_by_the_memory() -> None:
+    budget = MemoryBudget(1 << 20)
+    ids = RequestIds(budget)
+    for number in range(1000):
+        ids.retain(b"id-%d" % number, number)
+    assert budget.used_bytes <= budget.limit_bytes / 32
+    assert not ids.is_retained(b"id-0")
+    assert ids.is_retained(b"id-999")
+    ids.retain(b"id-999", 2000)
+    ids.sweep(RETENTION_NS + 1500)
+    assert ids.is_retained(b"id-999")
+    ids.sweep(RETENTION_NS + 2001)
+    assert not ids.is_retained(b"id-999")
+    assert budget.used_bytes == 0
