Listen backlog: the age of the first request counts, also while the event loop runs

Cause: a connection that waits to be accepted behind a crowd counted as just established, so that its request counted as just arrived: its client was not checked before the first attempt, and its timeout ran from the read. Only stalls of the event loop were seen, and a crowd causes none.

A batch of accepts that ends at its limit leaves a backlog; connections accepted until the backlog is empty have the age of their first data read from the kernel (TCP_INFO, as the summary line does). Older requests are thus checked for their client, and their timeout counts from the arrival. Without a backlog nothing is added.

The new test holds connections in the backlog for 200 ms while the event loop runs; without the change the request of the client that has left is forwarded.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -7,10 +7,12 @@
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
+from balancer import MS
+
 from ..framing import ReceivedBytes
 from ..limited_read import LimitedReadProtocol
 from ..memory_budget import OBJECT_BYTES, Charge, Priority
-from ..sockets import poll_socket
+from ..sockets import poll_socket, unread_age_ms
 from ..telemetry import CloseReason, CounterName, GatewayReason
 from ..timers import now_ns
 from .connection_state import ConnectionEvent, ConnectionLifecycle, ConnectionState
@@ -43,7 +45,8 @@
     its client is charged to the memory budget, except for open requests, which `RequestTable` charges.
     """
 
-    def __init__(self, server: ClientServer) -> None:
+    def __init__(self, server: ClientServer, has_waited: bool = False) -> None:
+        """`has_waited`: the connection may have waited to be accepted, and its first data with it."""
         super().__init__()
         self.number = server.next_connection_number()
         """Connection number used in the log."""
@@ -67,6 +70,7 @@
         self._write_buffer_bytes = 0  # what was left of them at the last sweep
         self._charge = Charge(server.dispatcher.memory_budget, self._reclaim)
         self._close_reason = CloseReason.BY_CLIENT
+        self._has_waited = has_waited
 
     # Event loop callbacks.
 
@@ -110,7 +114,13 @@
             self.reading.earliest_arrival(len(data), now), self._server.loop_monitor.earliest_arrival(now)
         )
         assert self._transport is not None
-        self._server.dispatcher.telemetry.record_read_age(self._transport.get_extra_info("socket"))
+        transport_socket = self._transport.get_extra_info("socket")
+        self._server.dispatcher.telemetry.record_read_age(transport_socket)
+        if self._has_waited:
+            self._has_waited = False
+            self._earliest_arrival_ns = min(
+                self._earliest_arrival_ns, now - unread_age_ms(transport_socket) * MS
+            )
         if not self._parser.in_message and self.has_sent_valid_request:
             self.waiting_since_ns = now  # not for the first request, whose timeout runs from the connect
         self._unparsed.add(data)
--- a/gateway/client/listener.py
+++ b/gateway/client/listener.py
@@ -54,13 +54,14 @@
         self,
         loop: asyncio.AbstractEventLoop,
         timers: Timers,
-        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        protocol_factory: Callable[[bool], asyncio.BaseProtocol],
     ) -> None:
-        """`protocol_factory` creates the protocol of each connection."""
+        """`protocol_factory` creates the protocol of a connection; its argument: whether that has waited."""
         self._loop = loop
         self._timers = timers
         self._protocol_factory = protocol_factory
         self._socket: socket.socket | None = None  # None while not listening
+        self._has_backlog = False  # whether connections may have been left in the backlog
         self._tasks: set[asyncio.Task[None]] = set()  # the event loop holds only weak references to tasks
 
     def start(self, address: tuple[str, int]) -> tuple[str, int]:
@@ -95,22 +96,25 @@
         for _ in range(ACCEPTS_PER_ITERATION):
             if self._socket is None or not self._accept_one(self._socket):
                 return
+        self._has_backlog = True
 
     def _accept_one(self, listening_socket: socket.socket) -> bool:
         """Accept one connection; false if none is pending or the system has no descriptor for it."""
         try:
             accepted, _ = listening_socket.accept()
         except BlockingIOError:
+            self._has_backlog = False
             return False
         except OSError as error:
             if error.errno in PER_CONNECTION_ERRORS:
                 return True
+            self._has_backlog = True
             log.warning("accept failed: %s", error)
             # The socket stays readable: without a pause the event loop would call accept continuously.
             self._loop.remove_reader(listening_socket)
             self._timers.call_after(ACCEPT_RETRY_DELAY_NS, self._resume_accepting, listening_socket)
             return False
-        task = self._loop.create_task(self._attach_protocol(accepted))
+        task = self._loop.create_task(self._attach_protocol(accepted, self._has_backlog))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return True
@@ -119,10 +123,10 @@
         if self._socket is listening_socket:  # it may have been closed during the delay
             self._loop.add_reader(listening_socket, self._accept_batch)
 
-    async def _attach_protocol(self, accepted: socket.socket) -> None:
+    async def _attach_protocol(self, accepted: socket.socket, has_waited: bool) -> None:
         """Create the transport and protocol of an accepted connection."""
         try:
-            await self._loop.connect_accepted_socket(self._protocol_factory, accepted)
+            await self._loop.connect_accepted_socket(lambda: self._protocol_factory(has_waited), accepted)
         except OSError as error:  # the connection broke after it was accepted
             log.info("an accepted connection could not be served: %s", error)
             accepted.close()
--- a/gateway/client/server.py
+++ b/gateway/client/server.py
@@ -53,9 +53,9 @@
 
     # Connections.
 
-    def create_protocol(self) -> ClientConnection:
-        """Create the protocol of a new connection."""
-        return ClientConnection(self)
+    def create_protocol(self, has_waited: bool = False) -> ClientConnection:
+        """Create the protocol of a new connection; `has_waited`: it may have waited to be accepted."""
+        return ClientConnection(self, has_waited)
 
     def next_connection_number(self) -> int:
         """Allocate a connection number for the log."""
--- a/gateway/sockets.py
+++ b/gateway/sockets.py
@@ -5,10 +5,14 @@
 import asyncio
 import select
 import socket
+import struct
 from collections.abc import Generator
 from contextlib import contextmanager, suppress
 from typing import NamedTuple
 
+LAST_DATA_RECV_OFFSET = 52
+"""Offset of `tcpi_last_data_recv` in Linux's `struct tcp_info` (linux/tcp.h): ms since data last arrived."""
+
 
 class SocketState(NamedTuple):
     """What a socket has received that the event loop has not read yet."""
@@ -38,6 +42,16 @@
     return SocketState(readable=True, ended=events[0][1] != select.POLLIN or _at_eof(transport_socket))
 
 
+def unread_age_ms(transport_socket: socket.socket) -> int:
+    """Return the time since data last arrived in a TCP socket, in ms; 0 if the system does not report it."""
+    try:
+        info = transport_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV_OFFSET + 4)
+        age_ms: int = struct.unpack_from("I", info, LAST_DATA_RECV_OFFSET)[0]
+    except (OSError, struct.error):
+        return 0  # no TCP socket, or a system without this field
+    return age_ms
+
+
 def shut_down(transport: asyncio.Transport | None) -> None:
     """Shut the connection down now; the transport closes its socket only in the next event loop iteration."""
     transport_socket = transport.get_extra_info("socket") if transport is not None else None
--- a/gateway/telemetry.py
+++ b/gateway/telemetry.py
@@ -10,7 +10,6 @@
 import logging
 import os
 import socket
-import struct
 import time
 from collections import Counter
 from enum import Enum
@@ -18,6 +17,8 @@
 
 from balancer import MS, SECOND
 
+from .sockets import unread_age_ms
+
 __all__ = ["CloseReason", "CounterName", "GatewayReason", "Phase", "Telemetry", "Trace"]
 
 log = logging.getLogger("gateway.stats")
@@ -30,8 +31,6 @@
 AGE_SAMPLES_PER_SUMMARY = 16
 """Maximum number of reads between two summary lines for which the age of the data is queried, which takes a
 system call."""
-LAST_DATA_RECV_OFFSET = 52
-"""Offset of `tcpi_last_data_recv` in Linux's `struct tcp_info` (linux/tcp.h): ms since data last arrived."""
 TRACE_VARIABLE = "EDGE_TRACE"
 """Environment variable; if its value is `all`, every request is traced, without a limit."""
 
@@ -193,12 +192,7 @@
         """Record, for a sample of client reads, how long the data had waited unread in the socket."""
         if self._age_samples < AGE_SAMPLES_PER_SUMMARY:
             self._age_samples += 1
-            try:
-                info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV_OFFSET + 4)
-                age_ms: int = struct.unpack_from("I", info, LAST_DATA_RECV_OFFSET)[0]
-            except (OSError, struct.error):
-                return  # no TCP socket, or a system without this field
-            self._max_age_ms = max(self._max_age_ms, age_ms)
+            self._max_age_ms = max(self._max_age_ms, unread_age_ms(sock))
 
     def finish_trace(self, trace: Trace, is_abnormal: bool) -> None:
         """Write the trace of an ended request if it ended abnormally or if all requests are traced."""
--- a/tests/gateway/test_event_loop_stalls.py
+++ b/tests/gateway/test_event_loop_stalls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -11,9 +12,18 @@
 import pytest
 
 from balancer import MS
+from gateway.client import listener
 from gateway.loop_monitor import HEARTBEAT_INTERVAL_NS, HEARTBEAT_TOLERANCE_NS, LoopMonitor
 from gateway.timers import Timers, now_ns
-from tests.support.loopback import Client, FakeDiscovery, FakeEndpoint, request, wait_until
+from tests.support.event_control import BlockingClient
+from tests.support.loopback import (
+    Client,
+    FakeDiscovery,
+    FakeEndpoint,
+    GatewayHarness,
+    request,
+    wait_until,
+)
 from tests.support.processes import connect, start_gateway, write_config
 
 STALL_S = 0.5
@@ -127,3 +137,41 @@
     await wait_until(lambda: monitor.earliest_arrival(now_ns() + offset_ns) > started_ns + offset_ns)
     later = now_ns() + offset_ns + HEARTBEAT_INTERVAL_NS + HEARTBEAT_TOLERANCE_NS + MS
     assert monitor.earliest_arrival(later) < later
+
+
+BACKLOG_NS = 200 * MS
+
+
+async def test_the_time_in_the_backlog_counts_while_the_event_loop_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Report 168279: requests that waited for accept in a crowd were sent after their clients had closed."""
+    monkeypatch.setattr(listener, "ACCEPTS_PER_ITERATION", 1)
+    accept_one = listener.Listener._accept_one  # noqa: SLF001 - replaced to hold connections in the backlog
+    started_ns = now_ns()
+    accepted = 0
+
+    def accept_one_late(self: listener.Listener, listening_socket: socket.socket) -> bool:
+        nonlocal accepted
+        if accepted and now_ns() < started_ns + BACKLOG_NS:
+            return False
+        accepted += 1
+        return accept_one(self, listening_socket)
+
+    monkeypatch.setattr(listener.Listener, "_accept_one", accept_one_late)
+    async with GatewayHarness() as harness:
+        endpoint = FakeEndpoint()
+        await harness.start(endpoint)
+        first, leaving, short, patient = [BlockingClient(harness.gateway_address) for _ in range(4)]
+        leaving.sock.sendall(request("once", request_id="left"))
+        leaving.close()
+        short.sock.sendall(request(request_id="short", X_Timeout_Ms=str(BACKLOG_NS // MS // 2)))
+        patient.sock.sendall(request(request_id="patient"))
+        received = await endpoint.received.get()
+        assert received.headers["x-request-id"] == "patient"
+        assert int(received.headers["x-timeout-ms"]) <= 6000 - BACKLOG_NS // MS
+        await wait_until(lambda: accepted == 4)
+        assert (await asyncio.to_thread(short.sock.recv, 1000)).startswith(b"HTTP/1.1 503")
+        assert endpoint.received.empty()
+        for client in (first, short, patient):
+            client.close()
--- a/tests/gateway/test_memory_reclaim.py
+++ b/tests/gateway/test_memory_reclaim.py
@@ -10,10 +10,12 @@
 import pytest
 
 from balancer import MS, SECOND
+from gateway.client.request_ids import RETENTION_NS
 from gateway.client.timeouts import SLOW_CLIENT_TIMEOUT_NS
 from gateway.framing import HEADER_OBJECT_BYTES
 from gateway.memory_budget import Priority
 from gateway.telemetry import CounterName, Telemetry
+from gateway.timers import now_ns
 from gateway.upstream.connection import EndpointConnection
 from tests.support.event_control import BlockingClient
 from tests.support.loopback import (
@@ -251,6 +253,7 @@
         await wait_until(lambda: budget.used_bytes > used_bytes + BODY_BYTES)
         client.writer.close()
         await wait_until(lambda: not upstream.open_connections)
+        harness.gateway.server.sweep(now_ns() + RETENTION_NS + SECOND)  # the id of the request is retained
         await wait_until(lambda: budget.used_bytes == start_bytes)
 
 
