Bodies in small blocks: growing bodies leave no gaps in the heap

A body is now a list of the parts that the parser reports, small ones joined, on both sides; the parts stay where they are. The charge of a growing buffer (an eighth more) is no longer needed.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -347,7 +347,7 @@
     def _parse_until_request(self) -> bool:
         """Parse received bytes up to the end of a request; whether there is a request to handle."""
         while not self._received and self._unparsed and not self._parser.has_stopped:
-            self._parser.feed(self._unparsed.take_piece())
+            self._parser.feed(self._unparsed.take_piece(self._parser.expected_body_bytes))
         return bool(self._received)
 
     def _handle_request(self, request: ParsedRequest) -> None:
--- a/gateway/client/request_parser.py
+++ b/gateway/client/request_parser.py
@@ -10,7 +10,8 @@
 
 import httptools
 
-from ..framing import BODY_GROWTH_DIVISOR, HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
+from ..body_buffer import BodyBuffer
+from ..framing import HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, field_value
 from .errors import InvalidRequestError
 
@@ -71,6 +72,7 @@
         """Whether a request is partly received."""
         self._handler = handler
         self._framing = FramingLimit()
+        self._body = BodyBuffer()
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
 
@@ -78,7 +80,8 @@
         self._framing.restart()
         self._target = b""
         self._headers: list[Header] = []
-        self._body = bytearray()
+        self._body.clear()
+        self._content_length = 0
         self._head_bytes = 0
         self._in_head = False
         self.in_message = False
@@ -86,7 +89,6 @@
     @property
     def stored_bytes(self) -> int:
         """Size in memory of the partly received request, approximately and rather too high."""
-        body_bytes = len(self._body)
         framing_bytes = self._framing.size_bytes  # includes a field that is incomplete
         if self._in_head:
             framing_bytes = max(0, framing_bytes - self._head_bytes)
@@ -95,10 +97,14 @@
             + len(self._headers) * HEADER_OBJECT_BYTES
             + self._head_bytes
             + framing_bytes
-            + body_bytes
-            + body_bytes // BODY_GROWTH_DIVISOR
+            + self._body.stored_bytes
         )
 
+    @property
+    def expected_body_bytes(self) -> int:
+        """Number of bytes that are still expected of a body whose length is known; 0 outside of a body."""
+        return max(0, self._content_length - self._body.size_bytes)
+
     @property
     def has_stopped(self) -> bool:
         """Whether the parser accepts no more data, after an error or an upgrade."""
@@ -106,7 +112,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received data and call the handler for each request that it completes."""
-        for piece in split_read(data):
+        for piece in (data,) if len(data) <= self.expected_body_bytes else split_read(data):
             self._framing.add(len(piece))
             try:
                 self._parser.feed_data(piece)
@@ -176,19 +182,21 @@
             not lengths[0].isdigit() or int(lengths[0][:MAX_CONTENT_LENGTH_DIGITS]) > MAX_BODY_BYTES
         ):
             self._record_error(413, "a body too long")
-        elif any(value.lower() == b"100-continue" for value in expectations):
-            self._handler.on_expect_continue()
+        else:
+            self._content_length = int(lengths[0][:MAX_CONTENT_LENGTH_DIGITS]) if lengths else 0
+            if any(value.lower() == b"100-continue" for value in expectations):
+                self._handler.on_expect_continue()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._framing.restart()
         if self.error is not None:
             return
-        if len(self._body) + len(body) > MAX_BODY_BYTES:
+        if self._body.size_bytes + len(body) > MAX_BODY_BYTES:
             self._record_error(413, "a body too long")
             self._body.clear()
         else:
-            self._body += body
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
@@ -201,7 +209,7 @@
                 parser.get_method(),
                 self._target,
                 self._headers,
-                bytes(self._body),
+                self._body.content(),
                 parser.should_keep_alive(),
             )
         )
--- a/gateway/framing.py
+++ b/gateway/framing.py
@@ -11,7 +11,6 @@
 from collections.abc import Sequence
 
 __all__ = [
-    "BODY_GROWTH_DIVISOR",
     "HEADER_OBJECT_BYTES",
     "MAX_FRAMING_BYTES",
     "MAX_HEAD_BYTES",
@@ -27,10 +26,10 @@
 """Maximum number of bytes received in a row without a part of a body; includes the white space in a head."""
 PIECE_BYTES = 2 * 1024
 """Maximum number of bytes that a parser is fed at once."""
+BODY_PIECE_BYTES = 4 * 1024
+"""The same where the bytes are known to belong to a body, which a parser does not store."""
 HEADER_OBJECT_BYTES = 192
 """Size of a stored header besides its name and value, bytes: a tuple and two bytes objects."""
-BODY_GROWTH_DIVISOR = 8
-"""A body that is being received takes up to this part more than its length, so that it can grow."""
 _END_OF_LINE_AND_HEAD = b"\n\r\n"
 
 
@@ -78,15 +77,21 @@
         self._data = self._data[self._position :] + data if len(self) else data
         self._position = 0
 
-    def take_piece(self) -> bytes:
-        """Remove and return the next piece; empty if nothing is left."""
-        start, end = self._position, min(self._position + PIECE_BYTES, len(self._data))
-        head_end = self._data.find(_END_OF_LINE_AND_HEAD, start, end)
-        if head_end >= 0:
-            end = head_end + len(_END_OF_LINE_AND_HEAD)
-        piece = self._data[start:end]
+    def take_piece(self, body_bytes: int = 0) -> bytes:
+        """Remove and return the next piece; empty if nothing is left.
+
+        `body_bytes` of the bytes that follow are known to belong to a body, so that they contain no head.
+        """
+        data, start = self._data, self._position
+        end = min(start + max(PIECE_BYTES, min(body_bytes, BODY_PIECE_BYTES)), len(data))
+        # The search for a single byte is much faster, and most pieces without a head have none.
+        if end - start > body_bytes and data.find(b"\n", start, end) >= 0:
+            head_end = data.find(_END_OF_LINE_AND_HEAD, start, end)
+            if head_end >= 0:
+                end = head_end + len(_END_OF_LINE_AND_HEAD)
+        piece = data[start:end]
         self._position = end
-        if end == len(self._data):
+        if end == len(data):
             self.clear()
         return piece
 
--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -4,7 +4,8 @@
 
 import httptools
 
-from ..framing import BODY_GROWTH_DIVISOR, HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
+from ..body_buffer import BodyBuffer
+from ..framing import HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, Response, field_value
 
 __all__ = [
@@ -86,6 +87,7 @@
 
     def __init__(self) -> None:
         self._framing = FramingLimit()
+        self._body = BodyBuffer()
         self._parser = httptools.HttpResponseParser(self)
         self.reset()
 
@@ -93,7 +95,7 @@
         """Prepare for the next response."""
         self._framing.restart()
         self._headers: list[Header] = []
-        self._body = bytearray()
+        self._body.clear()
         self._header_bytes = 0  # total length of names and values
         self._is_head_complete = False
         self._final_status = 0  # set once the response is complete
@@ -119,13 +121,11 @@
     @property
     def stored_bytes(self) -> int:
         """Size in memory of what is received of the response, approximately and rather too high."""
-        body_bytes = len(self._body)
         return (
             len(self._headers) * HEADER_OBJECT_BYTES
             + self._header_bytes
             + self._framing.size_bytes  # includes a field that is incomplete
-            + body_bytes
-            + body_bytes // BODY_GROWTH_DIVISOR
+            + self._body.stored_bytes
         )
 
     def feed(self, data: bytes) -> None:
@@ -154,7 +154,7 @@
 
     def response(self) -> Response:
         """Return the complete response."""
-        return Response(self._final_status, self._headers, bytes(self._body))
+        return Response(self._final_status, self._headers, self._body.content())
 
     def release(self) -> None:
         """Break the reference cycle with httptools' parser, which only the garbage collector would free."""
@@ -193,8 +193,8 @@
         self._framing.restart()
         if self.is_complete:
             return
-        self._body += body
-        if len(self._body) > MAX_BODY_BYTES:
+        self._body.append(body)
+        if self._body.size_bytes > MAX_BODY_BYTES:
             self.error = BodyTooLongError()
             self._body.clear()
 
--- a/tests/gateway/test_memory_limit.py
+++ b/tests/gateway/test_memory_limit.py
@@ -160,3 +160,56 @@
     with suppress(OSError):  # the gateway ends the call
         await send(gateway, writer)
     assert await gateway.peak_mb(asyncio.sleep(0.5)) <= MEMORY_MB
+
+
+SLOW_PIECE_BYTES = 4 * 1024
+SLOW_CROWD_S = 4.0
+
+
+async def _write_slowly(gateway: LimitedGateway, number: int, ends_at: float) -> None:
+    """Send the body of a request in small pieces, on a new connection whenever the gateway ends one."""
+    while time.monotonic() < ends_at:
+        with suppress(OSError, RuntimeError):  # RuntimeError: uvloop's, for a write to a closed connection
+            client = await gateway.connect()
+            data = _body_without_its_end(number)
+            for start in range(0, len(data), SLOW_PIECE_BYTES):
+                client.send(data[start : start + SLOW_PIECE_BYTES])
+                await client.writer.drain()
+                await asyncio.sleep(0.03)
+                if client.reader.at_eof() or time.monotonic() > ends_at:
+                    break
+            client.writer.close()
+
+
+async def test_a_crowd_that_writes_slowly_and_comes_again_stays_within_the_memory(tmp_path: Path) -> None:
+    """Report 168279: the crowd of the report, which reconnected as fast as it was closed."""
+    gateway = await LimitedGateway(tmp_path).start(FakeEndpoint())
+    ends_at = time.monotonic() + SLOW_CROWD_S
+    await asyncio.gather(*(_write_slowly(gateway, number, ends_at) for number in range(CROWD)))
+    assert await gateway.peak_mb() <= MEMORY_MB
+
+
+async def test_all_paths_together_stay_within_the_memory(tmp_path: Path) -> None:
+    """Report 168279: the sum over all paths counts, not that of each."""
+    endpoints = [FakeEndpoint(f"h{number}", reply=LARGE_RESPONSE[:-1]) for number in range(ENDPOINTS)]
+    gateway = await LimitedGateway(tmp_path).start(*endpoints)
+    _, writer = await gateway.discovery.calls.get()
+    gateway.discovery.start_watch_response(writer)
+    sent = (
+        _body_without_its_end,
+        lambda _: MANY_SHORT_FIELDS,
+        lambda _: SHORT_REQUESTS,
+        lambda peer: request(request_id=f"p{peer}") + SHORT_REQUESTS,
+        lambda peer: request("keyed", request_id=f"k{peer}", body=b"b" * MAX_BODY_BYTES),
+    )
+    crowd = asyncio.create_task(gateway.crowd(lambda peer: sent[peer % len(sent)](peer)))
+    with suppress(OSError):
+        await _send_new_names(gateway, writer)
+        await _send_dense_list(gateway, writer)
+    peers = await crowd
+    await asyncio.sleep(1.0)  # the time in which the responses arrive
+    for endpoint in endpoints:
+        endpoint.reply = CLOSING_RESPONSE
+    for peer in peers:
+        peer.close()
+    assert await gateway.peak_mb() <= MEMORY_MB
--- a/tests/gateway/test_request_parser.py
+++ b/tests/gateway/test_request_parser.py
@@ -94,3 +94,11 @@
     parser.feed(b"0\r\nX-Sum: 1\r\n\r\n")
     assert parser.error is None
     assert [received.body for received in handler.requests] == [body]
+
+
+@pytest.mark.parametrize("zeros", [30, 10_000])
+def test_a_content_length_with_many_digits_is_no_internal_error(zeros: int) -> None:
+    parser = RequestParser(RecordingHandler())
+    parser.feed(b"POST /once/x HTTP/1.1\r\nContent-Length: " + b"0" * zeros + b"5\r\n\r\nsome ")
+    assert parser.error is None or "callback" not in parser.error.reason.lower()
+    assert parser.expected_body_bytes <= MAX_BODY_BYTES
