Unwritten responses in a module of their own; no release for what can never fit

Clean-up: ClientConnection had three fields and a method for what its transport has not written; they are a class now. An addition that exceeds the budget itself (a list of discovery that would become 180 MB) no longer releases the incomplete requests of clients before it is rejected; a new test shows it.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -23,6 +23,7 @@
 from .response_queue import ResponseQueue
 from .timeouts import FIRST_REQUEST_TIMEOUT_NS, IDLE_TIMEOUT_NS, LINGER_TIMEOUT_NS, SLOW_CLIENT_TIMEOUT_NS
 from .turn_queue import REQUESTS_PER_TURN
+from .unwritten_responses import UnwrittenResponses
 
 if TYPE_CHECKING:
     from .server import ClientServer
@@ -65,9 +66,7 @@
         self._unparsed = ReceivedBytes()  # of the last read
         self._received: deque[ParsedRequest] = deque()  # parsed and not handled yet
         self._earliest_arrival_ns = 0  # earliest time at which the last read may have arrived
-        self._write_blocked_since_ns = 0  # nonzero while responses are unwritten: last progress
-        self._unwritten_bytes = 0  # size of the responses that the transport has not written completely
-        self._write_buffer_bytes = 0  # what was left of them at the last sweep
+        self._unwritten = UnwrittenResponses()
         self._charge = Charge(server.dispatcher.memory_budget, self._reclaim)
         self._close_reason = CloseReason.BY_CLIENT
         self._has_waited = has_waited
@@ -150,13 +149,13 @@
 
         The event loop may call this from inside `write`, during a flush, so nothing is flushed here.
         """
-        self._write_blocked_since_ns = now_ns()
-        self.reading.pause(self._write_blocked_since_ns)
+        now = now_ns()
+        self._unwritten.begin(now)
+        self.reading.pause(now)
 
     def resume_writing(self) -> None:
         """Continue once the client reads its responses again."""
-        self._write_blocked_since_ns = 0  # cleared before the flush, which resumes reading only if it is 0
-        self._unwritten_bytes = 0
+        self._unwritten.end()  # before the flush, which resumes reading only after that
         self.flush()
 
     # Parser callbacks.
@@ -260,8 +259,8 @@
             if transport is None or transport.is_closing():
                 continue
             transport.write(exchange.response)
-            if self._write_blocked_since_ns:
-                self._unwritten_bytes += len(exchange.response)
+            if self._unwritten.blocked_since_ns:
+                self._unwritten.size_bytes += len(exchange.response)
             self.waiting_since_ns = now_ns()
             if exchange.closes_connection:
                 self._close_write_side()
@@ -314,35 +313,25 @@
     def _enforce_timeouts(self, now: int) -> None:
         assert self._transport is not None
         waited_ns = now - self.waiting_since_ns
-        self._record_write_progress(now)
-        if self._write_blocked_since_ns and now - self._write_blocked_since_ns > SLOW_CLIENT_TIMEOUT_NS:
+        self._unwritten.check_progress(self.unwritten_buffer_bytes(), now)
+        if self._unwritten.is_stalled(now, SLOW_CLIENT_TIMEOUT_NS):
             self._close_reason = CloseReason.SLOW_READER
             self._transport.abort()
         elif self._lifecycle.gateway_has_ended:
-            if waited_ns > LINGER_TIMEOUT_NS and not self._write_blocked_since_ns:
+            if waited_ns > LINGER_TIMEOUT_NS and not self._unwritten.is_blocked:
                 self.close(CloseReason.AFTER_RESPONSE)
         elif self._is_awaiting_bytes() and waited_ns > SLOW_CLIENT_TIMEOUT_NS:
             self._respond_closing_error(InvalidRequestError(408, "the request was too slow"))
-        elif waited_ns > IDLE_TIMEOUT_NS and self.is_between_requests() and not self._write_blocked_since_ns:
+        elif waited_ns > IDLE_TIMEOUT_NS and self.is_between_requests() and not self._unwritten.is_blocked:
             self.close(CloseReason.IDLE)
 
-    def _record_write_progress(self, now: int) -> None:
-        """Restart the timeout of a client that has read a part of its responses since the last sweep."""
-        if not self._write_blocked_since_ns or self._transport is None:
-            self._write_buffer_bytes = 0
-            return
-        size_bytes = self.unwritten_buffer_bytes()
-        if size_bytes < self._write_buffer_bytes:
-            self._write_blocked_since_ns = now
-        self._write_buffer_bytes = size_bytes
-
     def _is_awaiting_bytes(self) -> bool:
         """Whether the rest of a partly received request is expected from the client."""
         return self._parser.in_message and self._lifecycle.is_open and not self.has_unhandled
 
     def _may_handle(self) -> bool:
         """Whether a received request may be handled now: its response can be queued and written."""
-        return self._lifecycle.is_open and not (self.queue.is_at_capacity or self._write_blocked_since_ns)
+        return self._lifecycle.is_open and not (self.queue.is_at_capacity or self._unwritten.is_blocked)
 
     def _parse_until_request(self) -> bool:
         """Parse received bytes up to the end of a request; whether there is a request to handle."""
@@ -381,7 +370,7 @@
             return
         parser = self._parser
         queued_bytes = self.queue.stored_bytes
-        size_bytes = CONNECTION_BYTES + self._unwritten_bytes + queued_bytes
+        size_bytes = CONNECTION_BYTES + self._unwritten.size_bytes + queued_bytes
         if self._unparsed:
             size_bytes += len(self._unparsed) + OBJECT_BYTES
         if self._received:
@@ -396,7 +385,7 @@
             )
         elif queued_bytes:
             priority = Priority.PIPELINED_REQUESTS
-        elif self._unwritten_bytes:
+        elif self._unwritten.size_bytes:
             priority = Priority.UNREAD_RESPONSE
         if size_bytes != self._charge.size_bytes or priority is not None:
             self._charge.set(size_bytes, priority)
@@ -405,7 +394,7 @@
         """Release stored data of this kind, unless the reason for it has gone."""
         if priority is Priority.UNREAD_RESPONSE:
             self._close_reason = CloseReason.MEMORY_EXHAUSTED
-            self._unwritten_bytes = 0
+            self._unwritten.size_bytes = 0
             self.abort()
         elif priority is Priority.PIPELINED_REQUESTS:
             self._fail_open_requests()
@@ -432,7 +421,7 @@
         if self.has_unhandled:
             if self._may_handle():
                 self._server.turns.add(self)
-        elif not (self.queue.is_flooded or self._write_blocked_since_ns or self.queue.is_full):
+        elif not (self.queue.is_flooded or self._unwritten.is_blocked or self.queue.is_full):
             self.reading.resume()
 
     def _report_half_close(self) -> None:
--- a/gateway/memory_budget.py
+++ b/gateway/memory_budget.py
@@ -91,6 +91,8 @@
 
     def can_add(self, size_bytes: int, least_priority: Priority) -> bool:
         """Whether this size can be added, after reclaiming data of up to `least_priority` if necessary."""
+        if size_bytes > self.limit_bytes:
+            return False
         if self.used_bytes + size_bytes > self.limit_bytes:
             self.reclaim(size_bytes, least_priority)
         return self.used_bytes + size_bytes <= self.limit_bytes
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -50,6 +50,13 @@
     assert budget.used_bytes == 60
 
 
+def test_nothing_is_reclaimed_for_an_addition_that_exceeds_the_budget_itself() -> None:
+    budget, released = MemoryBudget(100), list[str]()
+    Owner(budget, released, "incomplete").charge.set(40, Priority.INCOMPLETE_REQUEST)
+    assert not budget.can_add(101, Priority.UNREAD_RESPONSE)
+    assert not released
+
+
 def test_owners_that_release_nothing_do_not_block_the_others() -> None:
     budget, released = MemoryBudget(100), list[str]()
     stubborn = Owner(budget, released, "stubborn", stubborn=True)
--- a/tests/gateway/test_memory_reclaim.py
+++ b/tests/gateway/test_memory_reclaim.py
@@ -69,6 +69,19 @@
     await wait_until(lambda: budget.used_bytes >= expected_bytes)
 
 
+async def fill_socket_buffers(harness: GatewayHarness, endpoint: FakeEndpoint, peer: socket.socket) -> None:
+    """Request large responses that `peer` does not read, until one stays in the gateway."""
+    budget = harness.gateway.memory_budget
+    unwritten_from = budget.used_bytes + BODY_BYTES
+    number = 0
+    while budget.used_bytes < unwritten_from:
+        peer.sendall(request(request_id=f"p{number}"))
+        number += 1
+        (await endpoint.received.get()).reply(LARGE_RESPONSE)
+        await wait_until(lambda: not harness.gateway.dispatcher.open_requests())
+        await wait_until(lambda: not harness.gateway.upstream.open_connections)
+
+
 async def test_incomplete_requests_are_answered_oldest_first_and_useful_clients_last(
     reclaimed: ReclaimCounter,
 ) -> None:
@@ -142,14 +155,7 @@
         peer = socket.socket()
         peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         peer.connect(harness.gateway_address)
-        unwritten_from = budget.used_bytes + BODY_BYTES
-        number = 0
-        while budget.used_bytes < unwritten_from:  # until the system's buffers are full
-            peer.sendall(request(request_id=f"p{number}"))
-            number += 1
-            (await endpoint.received.get()).reply(LARGE_RESPONSE)
-            await wait_until(lambda: not harness.gateway.dispatcher.open_requests())
-            await wait_until(lambda: not harness.gateway.upstream.open_connections)
+        await fill_socket_buffers(harness, endpoint, peer)
         limit_free_bytes(harness, 0)
         reading = await harness.connect()
         reading.send(request(request_id="reading"))
@@ -168,18 +174,11 @@
     async with GatewayHarness() as harness:
         endpoint = FakeEndpoint(reply=None)
         await harness.start(endpoint, make_balancer=SingleAttemptBalancer)
-        server, budget = harness.gateway.server, harness.gateway.memory_budget
+        server = harness.gateway.server
         peer = BlockingClient(harness.gateway_address)
         await wait_until(lambda: server.open_connections == 1)
         [connection] = server.connections
-        unwritten_from = budget.used_bytes + BODY_BYTES
-        number = 0
-        while budget.used_bytes < unwritten_from:
-            peer.sock.sendall(request(request_id=f"p{number}"))
-            number += 1
-            (await endpoint.received.get()).reply(LARGE_RESPONSE)
-            await wait_until(lambda: not harness.gateway.dispatcher.open_requests())
-            await wait_until(lambda: not harness.gateway.upstream.open_connections)
+        await fill_socket_buffers(harness, endpoint, peer.sock)
         now = connection.waiting_since_ns
         connection.sweep(now + SECOND)
         if progress:
