Discovery: starts of endpoints that are gone are charged; names and numbers have a limit

Found on rereading the change for paths that the memory budget does not see. Cause: StartTimes keeps the starts of up to twice the largest update and 256 more with their ids, also of endpoints that are gone, while the record's charge ends with the endpoint; an id and a host had no limit of their own, and the host of a known endpoint could grow without a charge; cell and startedAtMs could be integers of thousands of digits.

Starts beyond one for each listed endpoint are charged, by the longest name so far. An entry with an id or host of over 256 characters, or a cell beyond 64 bits, is dropped as invalid; a start beyond 64 bits counts as the latest possible one, as before.

--- a/gateway/discovery/endpoint_list_parser.py
+++ b/gateway/discovery/endpoint_list_parser.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from balancer import EndpointEntry, EndpointState
+from balancer import MS, EndpointEntry, EndpointState
 from balancer.start_times import StartTimes
 
 from .endpoint_capacity import EndpointCapacity
@@ -19,6 +19,10 @@
 log = logging.getLogger("gateway.discovery")
 
 MAX_PORT = 65535
+MAX_NAME_LENGTH = 256
+"""Maximum length of an instanceId or of the host in a hostPort; a DNS name has at most 253 characters."""
+MAX_INTEGER = 2**63 - 1
+"""Maximum of a number: larger ones would take memory by their digits."""
 STATES = {
     "in_service": EndpointState.READY,
     "terminating": EndpointState.DRAINING,
@@ -118,6 +122,7 @@
         ]
         # All start times of an update are converted together: the latest one is the reference for the others.
         start_times_ns = self.start_times.to_monotonic(start_times_ms, now_ns)
+        self._capacity.charge_starts(len(self.start_times))
         started_ns = {
             endpoint_id: start_time_ns
             for (endpoint_id, _), start_time_ns in zip(start_times_ms, start_times_ns, strict=True)
@@ -132,17 +137,22 @@
         Raises one of `_INVALID_FIELD_ERRORS`.
         """
         address, _, port = instance["hostPort"].rpartition(":")
-        start_time_ms, weight = int(instance.get("startedAtMs") or 0), float(instance.get("weight", 1.0))
+        start_time_ms = min(int(instance.get("startedAtMs") or 0), MAX_INTEGER // MS)
+        cell, weight = int(instance.get("cell", 0)), float(instance.get("weight", 1.0))
         if not address or not 0 < int(port) <= MAX_PORT or not math.isfinite(weight) or start_time_ms < 0:
             raise ValueError("hostPort, weight or startedAtMs is out of range")
+        if abs(cell) > MAX_INTEGER:
+            raise ValueError("cell is out of range")
         endpoint_id = instance["instanceId"]
         if not isinstance(endpoint_id, str) or not endpoint_id:
             raise ValueError("instanceId is empty or not a string")
+        if len(endpoint_id) > MAX_NAME_LENGTH or len(address) > MAX_NAME_LENGTH:
+            raise ValueError("instanceId or hostPort is too long")
         entry = EndpointEntry(
             endpoint_id,
             self._zones[instance["zone"]],
             self._machine_types.get(instance.get("machineType", ""), 0),
-            int(instance.get("cell", 0)),
+            cell,
             STATES[instance["lifecycle"]],
             weight,
         )
