Soak: the port of a gateway stays reserved before its start and between restarts

The gateway was not at fault.

Cause: the soak took a free port, closed the socket, and started the gateway later on that port. Six soaks run at a time with crowds of hundreds of connections, and Linux gave the port to one of their sockets in between.

Change: a bound socket with SO_REUSEADDR that does not listen holds the port until the play ends. The new test fails with the former way (the other socket could bind).

--- a/scale/soak/play.py
+++ b/scale/soak/play.py
@@ -14,6 +14,7 @@
 
 from ..gateway_process import MODULE_COMMAND, GatewayProcess
 from ..registry import FakeDiscoveryServer
+from ..reserved_address import ReservedAddress
 from .checks import Kill, Violation, find_violations
 from .clients import Clients, Gateway
 from .endpoints import RecordingEndpoints
@@ -53,13 +54,14 @@
     """A gateway process, its address and its signals."""
 
     def __init__(self, number: int, directory: Path, configuration: dict[str, Any]) -> None:
-        port = _free_port()
-        self.view = Gateway(f"n{number}", ("127.0.0.1", port))
+        self._reserved = ReservedAddress()
+        host, port = self._reserved.address
+        self.view = Gateway(f"n{number}", self._reserved.address)
         self.kills: list[Kill] = []
         self.crashes: list[Violation] = []
         self.peak_mb = 0.0
         self._path = directory / f"{self.view.name}.json"
-        self._configuration = {**configuration, "name": self.view.name, "listen": f"127.0.0.1:{port}"}
+        self._configuration = {**configuration, "name": self.view.name, "listen": f"{host}:{port}"}
         self._process: GatewayProcess | None = None
         self._memory_task: asyncio.Task[None] | None = None
 
@@ -100,6 +102,10 @@
         if self._memory_task is not None:
             await self._memory_task
 
+    def release_address(self) -> None:
+        """Give the address back; the process cannot be started again."""
+        self._reserved.release()
+
     async def _leave_front(self, at: float) -> None:
         await _sleep_until(at)
         self.view.takes_connections = False
@@ -132,6 +138,7 @@
         finally:
             for replica in replicas:
                 await replica.end()
+                replica.release_address()
             await discovery.close()
             endpoints.close()
 
@@ -188,9 +195,3 @@
 
 async def _sleep_until(at: float) -> None:
     await asyncio.sleep(max(0.0, at - asyncio.get_running_loop().time()))
-
-
-def _free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        port: int = server.getsockname()[1]
-    return port
--- a/tests/scale/test_soak.py
+++ b/tests/scale/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import socket
 import subprocess
 import sys
 from typing import Any
@@ -10,6 +11,7 @@
 import pytest
 
 from scale import ROOT
+from scale.reserved_address import ReservedAddress
 from scale.soak.checks import Kill, find_violations
 from scale.soak.clients import CLOSED, NO_RESPONSE, Result
 from scale.soak.scenario import make_scenario
@@ -55,6 +57,18 @@
     assert {scenario.longest_timeout_s for scenario in scenarios} == {0.5, 0.8, 1.0, 1.5, 3.0}
 
 
+def test_no_other_socket_takes_the_port_of_a_gateway_that_is_not_running() -> None:
+    reserved = ReservedAddress()
+    try:
+        for _ in range(2):  # a gateway starts, ends and starts again
+            with socket.socket() as other, pytest.raises(OSError, match="Address already in use"):
+                other.bind(reserved.address)
+            with socket.create_server(reserved.address):
+                socket.create_connection(reserved.address, timeout=1).close()
+    finally:
+        reserved.release()
+
+
 def test_a_short_soak_breaks_no_rule() -> None:
     """Report 168279; the long run is started by hand: `python -m scale.soak 1 60`."""
     soaks = [
