Endpoints that send data without a request get a new connection for each request

Cause: in HTTP/1.1 the place in the stream is all that tells which request a response belongs to. The gateway noticed second responses, closed that connection, and went on reusing the endpoint's other connections.

New gauge single_use_endpoints. New experiment `python -m scale extra`; the load generator counts foreign bodies.

--- a/gateway/gateway.py
+++ b/gateway/gateway.py
@@ -155,6 +155,7 @@
             client_connections=self.server.open_connections,
             open_requests=len(self.dispatcher.open_requests()),
             endpoint_connections=self.upstream.open_connections,
+            single_use_endpoints=self.upstream.single_use_endpoints,
             stored_kb=self.memory_budget.used_bytes >> 10,
             generation=self.discovery.generation,
         )
--- a/gateway/sockets.py
+++ b/gateway/sockets.py
@@ -42,6 +42,18 @@
     return SocketState(readable=True, ended=events[0][1] != select.POLLIN or _at_eof(transport_socket))
 
 
+def has_unread_data(transport: asyncio.Transport | None) -> bool:
+    """Whether a transport's socket holds bytes that the event loop has not read yet."""
+    transport_socket = transport.get_extra_info("socket") if transport is not None else None
+    if transport_socket is None or transport is None or transport.is_closing():
+        return False
+    with _raw_socket(transport_socket) as sock:
+        try:
+            return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+
 def unread_age_ms(transport_socket: socket.socket) -> int:
     """Return the time since data last arrived in a TCP socket, in ms; 0 if the system does not report it."""
     try:
--- a/gateway/upstream/connection.py
+++ b/gateway/upstream/connection.py
@@ -15,7 +15,7 @@
 
 from ..limited_read import LimitedReadProtocol
 from ..memory_budget import Charge, MemoryBudget, Priority
-from ..sockets import poll_socket, shut_down
+from ..sockets import has_unread_data, poll_socket, shut_down
 from ..timers import Timer, now_ns
 from .attempt import Attempt
 from .response_outcome import classify_response, extract_load_report
@@ -128,6 +128,10 @@
         """
         return poll_socket(self._transport).readable
 
+    def has_unread_data(self) -> bool:
+        """Whether the socket holds bytes, and not only an end of stream, that were not read yet."""
+        return has_unread_data(self._transport)
+
     def _transition_to(self, state: ConnectionState) -> None:
         """Change the state; a transition missing in `_TRANSITIONS` is a bug: it is logged and ignored."""
         if state in _TRANSITIONS[self.state]:
@@ -191,12 +195,17 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; if no request is in flight, close the connection."""
         if self.attempt is None:
-            log.warning("unexpected data from %s without a request in flight", self.endpoint.address)
-            self.close()
+            self._reject_unsolicited_data()
             return
         self._response.feed(data)
         self._process_response()
 
+    def _reject_unsolicited_data(self) -> None:
+        log.warning("unexpected data from %s without a request in flight", self.endpoint.address)
+        if self.state is IDLE:
+            self.endpoint.record_unsolicited_data(now_ns())
+        self.close()
+
     def eof_received(self) -> None:
         """Handle the end of the stream, which completes a response without a length.
 
@@ -213,6 +222,8 @@
         if not self._response.is_invalid and not self._response.is_complete:
             self._update_charge()
             return
+        if self._response.has_excess_data:
+            self.endpoint.record_unsolicited_data(now_ns())
         if self._response.is_invalid:
             log.warning("invalid response from %s: %s", self.endpoint.address, self._response.error)
             self.end_attempt(Outcome.INVALID_RESPONSE)
--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -118,6 +118,11 @@
             return False
         return not (self.is_complete and isinstance(self.error, ExtraResponseError))
 
+    @property
+    def has_excess_data(self) -> bool:
+        """Whether more than the response was received."""
+        return self.is_complete and self.error is not None
+
     @property
     def stored_bytes(self) -> int:
         """Size in memory of what is received of the response, approximately and rather too high."""
--- a/gateway/upstream/upstream.py
+++ b/gateway/upstream/upstream.py
@@ -52,6 +52,8 @@
         self._connections: set[EndpointConnection] = set()  # open or being opened
         self.connections_opened = 0
         """Number of connections started since the process began."""
+        self.single_use_endpoints = 0
+        """Number of endpoints, at the last sweep, whose connections are not reused."""
 
     @property
     def open_connections(self) -> int:
@@ -168,8 +170,10 @@
 
     def sweep(self, now: int) -> None:
         """Close connections that have been idle too long, well before the endpoints close them."""
+        self.single_use_endpoints = 0
         for endpoint in self.endpoints.values():
             endpoint.close_expired(now, self._max_idle_ns)
+            self.single_use_endpoints += endpoint.is_single_use(now)
 
     def close(self) -> None:
         """Close all connections immediately, when the process exits."""
--- a/scale/backend.py
+++ b/scale/backend.py
@@ -15,13 +15,13 @@
 import time
 from collections.abc import Callable, Sequence
 from functools import partial
-from typing import cast
+from typing import NamedTuple, cast
 
 import click
 import httptools
 import uvloop
 
-__all__ = ["FakeEndpoints", "UnknownColumnError", "listener_address"]
+__all__ = ["ExtraResponses", "FakeEndpoints", "UnknownColumnError", "listener_address"]
 
 FULL_UTILIZATION_IN_FLIGHT = 16
 """Requests in flight at which an endpoint reports a utilization of 1."""
@@ -42,6 +42,17 @@
     return f"127.64.{number // 254}.{number % 254 + 1}"
 
 
+class ExtraResponses(NamedTuple):
+    """Second responses to one request, on the same connection: a fault of an endpoint."""
+
+    every: int
+    """One listener in `every` sends them."""
+    share: float
+    """Share of its responses that it sends again."""
+    delay_s: float
+    """Time from the first response to the second, seconds."""
+
+
 class FakeEndpoints:
     """Fake endpoints that respond as the gateway's protocol requires of endpoints.
 
@@ -50,12 +61,20 @@
     no report.  Raises UnknownColumnError.
     """
 
-    def __init__(self, seed: int, mean_s: float, columns: Sequence[str] = ()) -> None:
+    def __init__(
+        self, seed: int, mean_s: float, columns: Sequence[str] = (), extra: ExtraResponses | None = None
+    ) -> None:
         if unknown := [name for name in columns if name not in COLUMN_VALUES]:
             raise UnknownColumnError(f"unsupported columns of the load report: {', '.join(unknown)}")
         self._seed = seed
         self._mean_s = mean_s
         self._columns = columns
+        self._extra = extra
+        self._random = random.Random(f"extra {seed}")
+        self.connections = 0
+        """Number of connections that were opened."""
+        self.extra_responses = 0
+        """Number of responses that were sent again."""
         self._servers: list[asyncio.Server] = []
 
     async def start(self, listeners: int) -> list[str]:
@@ -65,7 +84,8 @@
         for number in range(listeners):
             listener = socket.socket()
             listener.bind((listener_address(number), 0))
-            make_connection = partial(_Connection, self, _Endpoint())
+            sends_extra = self._extra is not None and number % self._extra.every == 0
+            make_connection = partial(_Connection, self, _Endpoint(sends_extra))
             self._servers.append(await loop.create_server(make_connection, sock=listener, backlog=1024))
             addresses.append("{}:{}".format(*listener.getsockname()))
         return addresses
@@ -79,6 +99,12 @@
         """Return the service time of the request with this ID, in seconds."""
         return random.Random(b"%d:%b" % (self._seed, request_id)).expovariate(1 / self._mean_s)
 
+    def extra_delay_s(self) -> float | None:
+        """Draw the time until this response is sent again, in seconds; None if it is not."""
+        if self._extra is None or self._random.random() >= self._extra.share:
+            return None
+        return self._extra.delay_s
+
     def response(self, request_id: bytes, elapsed_ns: int, in_flight: int) -> bytes:
         """Return a complete 200 response; `Server-Timing` has the time in the endpoint, milliseconds."""
         body = b"served " + request_id
@@ -95,8 +121,9 @@
 class _Endpoint:
     """State that the connections to one address share."""
 
-    def __init__(self) -> None:
+    def __init__(self, sends_extra: bool) -> None:
         self.in_flight = 0
+        self.sends_extra = sends_extra
 
 
 class _Connection(asyncio.Protocol):
@@ -111,6 +138,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's transports have another base class
+        self._fake_endpoints.connections += 1
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 - required by asyncio.Protocol
         if self._service_timer is not None:
@@ -147,7 +175,15 @@
         self._service_timer = None
         self._endpoint.in_flight -= 1
         elapsed_ns = time.monotonic_ns() - started_ns
-        self._transport.write(self._fake_endpoints.response(request_id, elapsed_ns, self._endpoint.in_flight))
+        response = self._fake_endpoints.response(request_id, elapsed_ns, self._endpoint.in_flight)
+        self._transport.write(response)
+        if self._endpoint.sends_extra and (delay_s := self._fake_endpoints.extra_delay_s()) is not None:
+            asyncio.get_running_loop().call_later(delay_s, self._send_again, response)
+
+    def _send_again(self, response: bytes) -> None:
+        if not self._transport.is_closing():
+            self._fake_endpoints.extra_responses += 1
+            self._transport.write(response)
 
     def _reject(self, status: bytes) -> None:
         self._transport.write(b"HTTP/1.1 %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" % status)
--- a/scale/experiments/__init__.py
+++ b/scale/experiments/__init__.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
-from . import endpoints, gateways, latency, settings
+from . import endpoints, extra_responses, gateways, latency, settings
 
 __all__ = ["EXPERIMENTS", "Experiment"]
 
@@ -26,6 +26,7 @@
 
 
 EXPERIMENTS = {
+    "extra": Experiment(extra_responses.run, extra_responses.SIZES, 200),
     "gateways": Experiment(gateways.run, gateways.SIZES, 1_000),
     "hosts": Experiment(endpoints.run, endpoints.SIZES, 75_000),
     "latency": Experiment(latency.run, latency.SIZES, 75_000),
--- a/scale/load.py
+++ b/scale/load.py
@@ -20,8 +20,12 @@
 
 from balancer import SECOND
 
-__all__ = ["LoadGenerator", "Sample", "arrival_times", "histogram", "request_bytes"]
+__all__ = ["FOREIGN_BODY", "LoadGenerator", "Sample", "arrival_times", "histogram", "request_bytes"]
 
+FOREIGN_BODY = -1
+"""Status of a sample whose 200 response has the body of a fake endpoint's response to another request."""
+FAKE_ENDPOINT_BODY = b"served "
+"""What the body of a fake endpoint's response begins with; the ID of the request follows."""
 TIMEOUT_MARGIN_S = 0.5
 """Time in addition to the request's timeout for which the client waits for a response, seconds."""
 HEALTH_CHECK = b"GET /health/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n"
@@ -39,7 +43,7 @@
     sent_ns: int
     done_ns: int
     status: int
-    """Status code; 0 if no complete response was received."""
+    """Status code; 0 if no complete response was received, `FOREIGN_BODY` for one to another request."""
     endpoint_ns: int
     """Time spent in the endpoint, from `Server-Timing`; -1 if none was reported."""
 
@@ -57,6 +61,12 @@
     status: int
     endpoint_ns: int
     done_ns: int
+    body: bytes = b""
+
+    def status_for(self, request_id: str) -> int:
+        """Return the status, or `FOREIGN_BODY` if the response is that of a request with another ID."""
+        is_foreign = self.body.startswith(FAKE_ENDPOINT_BODY) and not self.body.endswith(request_id.encode())
+        return FOREIGN_BODY if is_foreign else self.status
 
 
 def arrival_times(rate: float, seconds: float, seed: int) -> list[float]:
@@ -92,6 +102,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._response: asyncio.Future[_Response] | None = None
         self._endpoint_ns = -1
+        self._body = b""
         self.is_open = False
         self.response_started = False
         """Whether any data of the response was received."""
@@ -110,7 +121,7 @@
 
         The future fails with ConnectionResetError if the connection closes before the response is complete.
         """
-        self._endpoint_ns, self.response_started = -1, False
+        self._endpoint_ns, self.response_started, self._body = -1, False, b""
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         return self._response
@@ -126,12 +137,15 @@
         if name.lower() == b"server-timing":
             self._endpoint_ns = round(float(value.rpartition(b"dur=")[2]) * 1e6)
 
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
     def on_message_complete(self) -> None:
         if not self._parser.should_keep_alive():
             self.is_open = False
         if self._response is not None and not self._response.done():
             self._response.set_result(
-                _Response(self._parser.get_status_code(), self._endpoint_ns, time.monotonic_ns())
+                _Response(self._parser.get_status_code(), self._endpoint_ns, time.monotonic_ns(), self._body)
             )
 
     def close(self) -> None:
@@ -187,7 +201,7 @@
             due_ns,
             sent_ns,
             response.done_ns,
-            response.status,
+            response.status_for(request_id),
             response.endpoint_ns,
         )
 
--- a/tests/scale/test_experiments.py
+++ b/tests/scale/test_experiments.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from scale.experiments import endpoints, gateways, settings
+from scale.experiments import endpoints, extra_responses, gateways, settings
 
 
 async def test_bytes_of_a_snapshot_and_a_zone_loss_grow_with_the_fleet_and_those_of_a_change_do_not() -> None:
@@ -36,3 +36,11 @@
     assert figures["sighup_in_force_s"] > 0
     assert 0 < figures["tenants_bytes"] < figures["config_bytes"]
     assert figures["restart_told_s"] > 0
+
+
+async def test_extra_responses_come_from_the_faulty_endpoints_only() -> None:
+    figures = await extra_responses.run(2, 1, seconds=1.0, rate=100.0, one_in=2, share=1.0, mean_ms=1.0)
+    assert figures["clean_requests"] == figures["mixed_requests"] > 50
+    assert (figures["clean_extra_responses"], figures["clean_foreign"]) == (0, 0)
+    assert figures["mixed_extra_responses"] > 0
+    assert figures["mixed_connections_per_request"] > figures["clean_connections_per_request"]
--- a/tests/scale/test_load.py
+++ b/tests/scale/test_load.py
@@ -10,7 +10,7 @@
 
 from scale.backend import FakeEndpoints, UnknownColumnError
 from scale.backend import main as backend_main
-from scale.load import LoadGenerator, arrival_times, request_bytes
+from scale.load import FOREIGN_BODY, LoadGenerator, arrival_times, request_bytes
 from scale.load import main as load_main
 from tests.support.loopback import OK_RESPONSE, run_coroutine
 
@@ -72,6 +72,19 @@
     run_coroutine(check)
 
 
+def test_the_response_to_another_request_is_a_foreign_body() -> None:
+    async def check() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for request_id in (b"%016x" % 0, b"%016x" % 0):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\nserved " + request_id)
+
+        generator = LoadGenerator(await start_server(serve), "read", "t", 15_000)
+        assert [sample.status for sample in await generator.run([0, 0.2])] == [200, FOREIGN_BODY]
+
+    run_coroutine(check)
+
+
 def test_each_request_gets_one_response_with_the_endpoint_time() -> None:
     async def check() -> None:
         fake_endpoints = FakeEndpoints(3, 0.005)
