Requests that arrive before the gateway closes their connection get a response

Cause: a response was made the last one when it was set, not when it was written. Until then it may wait for an earlier response, and what arrives meanwhile was read and discarded; what had arrived and was unread did not count. A connection above the limit discarded all requests but the first.

Change: ClientConnection.flush decides when it writes: no other request is open, received or unread in the socket. Idle connections with valid requests are closed only if nothing is unread. At the end of a shutdown what was received is rejected, for up to 150 ms. A request after the end of the stream gets a reset, as if it had not been read.

--- a/gateway/client/admission.py
+++ b/gateway/client/admission.py
@@ -92,15 +92,27 @@
             if connection.is_stalled(now):
                 connection.close(CloseReason.EVICTED)
                 return True
-        return self._evict_oldest(self._idle)
+        return self._evict_oldest_idle()
 
     @staticmethod
     def _evict_oldest(group: dict[ClientConnection, None]) -> bool:
-        """Close the oldest connection of a group; false if all are closing already, which frees no slot."""
+        """Close the oldest connection of a group without a valid request; false if there is none.
+
+        One that is closing already frees no slot.  An unread request is no reason to spare a connection: many
+        useless clients that send something would displace the useful ones.
+        """
         while group:
             oldest = next(iter(group))
             del group[oldest]
             if not oldest.is_closing:
-                oldest.close_if_idle(CloseReason.EVICTED)
+                oldest.close(CloseReason.EVICTED)
+                return True
+        return False
+
+    def _evict_oldest_idle(self) -> bool:
+        """Close the connection that is idle for longest after a valid request; false if there is none."""
+        for connection in self._idle:
+            if not connection.is_closing and connection.close_if_idle(CloseReason.EVICTED):
+                del self._idle[connection]
                 return True
         return False
--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -12,7 +12,7 @@
 from ..framing import ReceivedBytes
 from ..limited_read import LimitedReadProtocol
 from ..memory_budget import OBJECT_BYTES, Charge, Priority
-from ..sockets import poll_socket, unread_age_ms
+from ..sockets import poll_socket, reset_on_close, unread_age_ms
 from ..telemetry import CloseReason, CounterName, GatewayReason
 from ..timers import now_ns
 from .connection_state import ConnectionEvent, ConnectionLifecycle, ConnectionState
@@ -70,6 +70,7 @@
         self._charge = Charge(server.dispatcher.memory_budget, self._reclaim)
         self._close_reason = CloseReason.BY_CLIENT
         self._has_waited = has_waited
+        self._has_discarded_data = False
 
     # Event loop callbacks.
 
@@ -105,6 +106,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
         if not self._lifecycle.is_open:
+            self._has_discarded_data = True
             self.reading.pause(now_ns())  # discarding unlimited data would take time from other clients
             return
         self._server.connections.mark_active(self)
@@ -192,6 +194,12 @@
         self._resume_reading()
         self._update_charge()
 
+    def answer_received(self) -> None:
+        """Handle all received requests now, as the process is about to end."""
+        while self.has_unhandled and self._may_handle() and not self.is_closing:
+            self.handle_received()
+            self.release_errors()
+
     def is_between_requests(self) -> bool:
         """Whether no request is open, partly received or waiting for its turn."""
         return not self.queue and not self._parser.in_message and not self.has_unhandled
@@ -219,19 +227,6 @@
         """Whether the client has sent EOF or disconnected, including an EOF behind unread bytes."""
         return self._lifecycle.client_has_ended or poll_socket(self._transport).ended
 
-    def should_close_after(self, exchange: Exchange) -> bool:
-        """Whether the response to a request closes the connection; false if another request has arrived."""
-        return (
-            self._server.closes_after_response(self)
-            and not self._parser.in_message
-            and not self.has_unhandled
-            and self.queue.last is exchange
-        )
-
-    def stop_reading_requests(self) -> None:
-        """Accept no further request, as the response about to be written closes the connection."""
-        self._lifecycle.handle(ConnectionEvent.LAST_REQUEST)
-
     def release_request_id(self, exchange: Exchange) -> None:
         """Allow the X-Request-ID of an answered request to be used again, unless its client may have left."""
         request_ids, request = self._server.request_ids, exchange.request
@@ -258,11 +253,13 @@
             assert exchange.response is not None
             if transport is None or transport.is_closing():
                 continue
-            transport.write(exchange.response)
+            is_last = exchange.closes_connection or self._should_close_now()
+            data = exchange.response.serialize(is_last)
+            transport.write(data)
             if self._unwritten.blocked_since_ns:
-                self._unwritten.size_bytes += len(exchange.response)
+                self._unwritten.size_bytes += len(data)
             self.waiting_since_ns = now_ns()
-            if exchange.closes_connection:
+            if is_last:
                 self._close_write_side()
         if transport is None or transport.is_closing():
             return
@@ -290,6 +287,8 @@
         """Close the connection without a further response, once the buffered data is written."""
         if self._transport is not None:
             self._close_reason = reason
+            if self._has_discarded_data:  # tells the client that what it sent last was not processed
+                reset_on_close(self._transport)
             self._transport.close()
 
     def abort(self) -> None:
@@ -297,13 +296,31 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def close_if_idle(self, reason: CloseReason) -> None:
-        """Close the connection if it is between requests."""
-        if self.is_between_requests():
-            self.close(reason)
+    def close_if_idle(self, reason: CloseReason) -> bool:
+        """Close the connection if no request is open, received or unread; return whether it is closed."""
+        if not self.is_between_requests() or self._has_unread_input():
+            return False
+        self.close(reason)
+        return True
 
     # Internal helpers.
 
+    def _should_close_now(self) -> bool:
+        """Whether the response that is about to be written closes the connection.
+
+        It does not if another request has arrived, as that would get no response.
+        """
+        return (
+            not self.queue
+            and self._server.closes_after_response(self)
+            and self.is_between_requests()
+            and not self._has_unread_input()
+        )
+
+    def _has_unread_input(self) -> bool:
+        """Whether a request, or a part of one, may have arrived that has not been read yet."""
+        return self._lifecycle.is_open and poll_socket(self._transport).readable
+
     def _abandon(self, exchange: Exchange) -> None:
         """Give up a request whose response cannot reach its client any more."""
         self.release_request_id(exchange)
@@ -322,8 +339,8 @@
                 self.close(CloseReason.AFTER_RESPONSE)
         elif self._is_awaiting_bytes() and waited_ns > SLOW_CLIENT_TIMEOUT_NS:
             self._respond_closing_error(InvalidRequestError(408, "the request was too slow"))
-        elif waited_ns > IDLE_TIMEOUT_NS and self.is_between_requests() and not self._unwritten.is_blocked:
-            self.close(CloseReason.IDLE)
+        elif waited_ns > IDLE_TIMEOUT_NS and not self._unwritten.is_blocked:
+            self.close_if_idle(CloseReason.IDLE)
 
     def _is_awaiting_bytes(self) -> bool:
         """Whether the rest of a partly received request is expected from the client."""
--- a/gateway/client/exchange.py
+++ b/gateway/client/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from balancer import SECOND
 
@@ -19,6 +19,7 @@
 
 DROPPED_RESPONSE_HEADERS = UNFORWARDED_HEADERS | {LOAD_REPORT_HEADER}
 """Endpoint response headers that are not forwarded to the client, in lower case."""
+CLOSE_HEADER = b"Connection: close\r\n"
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -31,17 +32,34 @@
 }
 
 
+class SerializedResponse(NamedTuple):
+    """A response whose last header, `Connection: close` or none, is added when it is written."""
+
+    head: bytes
+    """Status line and headers, without the empty line at the end."""
+    body: bytes
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of head and body, bytes."""
+        return len(self.head) + len(self.body)
+
+    def serialize(self, closes_connection: bool) -> bytes:
+        """Return the bytes to write; `closes_connection`: whether the connection closes after them."""
+        return b"%b%b\r\n%b" % (self.head, CLOSE_HEADER if closes_connection else b"", self.body)
+
+
 class Exchange:
     """One request of a connection and its response; implements the dispatcher's `ClientExchange`."""
 
     __slots__ = ("client_request_id", "closes_connection", "connection", "is_deferred", "request", "response")
 
     def __init__(self, connection: ClientConnection, closes_connection: bool) -> None:
-        """`closes_connection`: whether the connection closes after this response."""
+        """`closes_connection`: whether the connection must close after this response."""
         self.connection = connection
         self.closes_connection = closes_connection
-        self.response: bytes | None = None
-        """The serialized response; None until it is set."""
+        self.response: SerializedResponse | None = None
+        """The response; None until it is set."""
         self.is_deferred = False
         """Whether the response, and with it all later ones, waits for `ResponseQueue.release_errors`."""
         self.request: Request | None = None
@@ -68,12 +86,8 @@
             log.error("dropped a second response to one request")
             return
         self.connection.release_request_id(self)
-        if not self.closes_connection:
-            self.closes_connection = self.connection.should_close_after(self)
-        if self.closes_connection:
-            self.connection.stop_reading_requests()
-        self.response = _serialize_response(status, headers, body, self.closes_connection)
-        self.connection.queue.response_bytes += len(self.response)
+        self.response = SerializedResponse(_serialize_head(status, headers, len(body)), body)
+        self.connection.queue.response_bytes += self.response.size_bytes
         self.connection.flush()
 
     def send_response(self, response: Response) -> None:
@@ -91,9 +105,7 @@
         self.respond(503, headers, b"refused\n")
 
 
-def _serialize_response(status: int, headers: list[Header], body: bytes, closes_connection: bool) -> bytes:
-    lines = [b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (status, REASON_PHRASES[status], len(body))]
+def _serialize_head(status: int, headers: list[Header], body_bytes: int) -> bytes:
+    lines = [b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (status, REASON_PHRASES[status], body_bytes)]
     lines += [b"%b: %b\r\n" % header for header in headers]
-    if closes_connection:
-        lines.append(b"Connection: close\r\n")
-    return b"%b\r\n%b" % (b"".join(lines), body)
+    return b"".join(lines)
--- a/gateway/client/response_queue.py
+++ b/gateway/client/response_queue.py
@@ -44,7 +44,7 @@
             return None
         exchange = self.popleft()
         assert exchange.response is not None
-        self.response_bytes -= len(exchange.response)
+        self.response_bytes -= exchange.response.size_bytes
         return exchange
 
     def blocking_exchanges(self) -> list[Exchange]:
--- a/gateway/client/server.py
+++ b/gateway/client/server.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from balancer import Settings
+from balancer import MS, Settings
 
 from ..dispatcher import Dispatcher
 from ..loop_monitor import LoopMonitor
 from ..telemetry import CloseReason, CounterName, GatewayReason
+from ..timers import now_ns
 from .admission import ConnectionTable
 from .connection import ClientConnection
 from .errors import InvalidRequestError
@@ -19,6 +20,8 @@
 __all__ = ["ClientServer"]
 
 READINESS_PATH = b"/health/ready"
+MAX_REJECT_TIME_NS = 150 * MS
+"""Maximum time for rejections at the end of a shutdown, ns: SIGKILL follows 0.3 s later."""
 
 
 class ClientServer:
@@ -41,6 +44,8 @@
         """Whether the gateway reports itself as not ready because it is about to stop."""
         self.draining = False
         """Whether connections close as soon as they are idle."""
+        self.ending = False
+        """Whether all requests are rejected, as the process is about to end."""
         self._tenant_slots = tenant_slots
         self._validator = RequestValidator(settings, tenant_slots)
         self._last_connection_number = 0
@@ -68,12 +73,15 @@
         self.connections.admit(connection)
 
     def closes_after_response(self, connection: ClientConnection) -> bool:
-        """Whether a response closes its connection.
+        """Whether the last response of a connection closes it.
 
-        Normally it does if over half the slots are taken: otherwise clients that send one request and stay
-        connected would take all slots.  During a graceful shutdown it does on connections that have sent no
-        valid request, and on all connections once the drain has begun.
+        It always does without a connection slot.  Normally it does if over half the slots are taken:
+        otherwise clients that send one request and stay connected would take all slots.  During a graceful
+        shutdown it does on connections that have sent no valid request, and on all connections once the
+        drain has begun.
         """
+        if connection.is_over_limit:
+            return True
         if self.shutting_down:
             return self.draining or not connection.has_sent_valid_request
         return self.connections.is_half_full
@@ -128,11 +136,8 @@
             no_time_left = InvalidRequestError(400, "no time left")
             self._respond_invalid(exchange, request, no_time_left, is_paced=False)
             return
-        reason = _rejection_reason(connection)
+        reason = GatewayReason.SHUTDOWN if self.ending else _rejection_reason(connection)
         if reason is not None:
-            exchange.closes_connection = (
-                exchange.closes_connection or reason is GatewayReason.NO_CONNECTION_SLOT
-            )
             self.dispatcher.telemetry.count(CounterName.REJECTED, reason.value)
             exchange.send_rejection(0)
             return
@@ -186,6 +191,15 @@
         self.draining = True
         self.connections.close_idle(CloseReason.SHUTDOWN)
 
+    def reject_received(self) -> None:
+        """Reject the requests that were received and wait for earlier ones, before the process ends."""
+        self.ending = True
+        ends_ns = now_ns() + MAX_REJECT_TIME_NS
+        for connection in list(self.connections):
+            connection.answer_received()
+            if now_ns() > ends_ns:
+                return
+
 
 def _rejection_reason(connection: ClientConnection) -> GatewayReason | None:
     """Return why a valid request is rejected without being forwarded; None if it is accepted."""
--- a/gateway/shutdown.py
+++ b/gateway/shutdown.py
@@ -115,6 +115,7 @@
             self._server.drain()  # repeated: a connection may have become idle since the last call
         if self.phase is ShutdownPhase.OVERDUE:
             self._dispatcher.fail_all()
+            self._server.reject_received()
         if self.phase is ShutdownPhase.OVERDUE or not self._server.open_connections:
             self.phase = ShutdownPhase.ENDED
             self._on_ended()
--- a/gateway/sockets.py
+++ b/gateway/sockets.py
@@ -73,6 +73,15 @@
         sock.shutdown(socket.SHUT_RDWR)
 
 
+def reset_on_close(transport: asyncio.Transport) -> None:
+    """Let the close of a transport reset the connection, as if some received bytes were unread."""
+    transport_socket = transport.get_extra_info("socket")
+    if transport_socket is None or transport_socket.fileno() < 0:
+        return
+    with _raw_socket(transport_socket) as sock, suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def _at_eof(transport_socket: socket.socket) -> bool:
     """Whether the stream ends without further bytes; used where the system does not report POLLRDHUP."""
     with _raw_socket(transport_socket) as sock:
