Discovery lists with pauses are taken: a second watch beside a slow one

Cause: the limit for objects that are cut short ended the call. An update that arrived byte by byte had no limit at all.

Change: call_limits.py holds all limits as parts of the 6 s after which a change counts as notified. After half a second of silence within an object, or 4 s (and 1 s for each 16 KB) for an update as a whole, a second watch is opened beside the slow one; the first update of either counts. Calls fail after 3 s of silence, as before between updates, and after 64 s (and 1 s for each 16 KB) for one update.

--- a/gateway/discovery/call.py
+++ b/gateway/discovery/call.py
@@ -11,12 +11,24 @@
 from ..limited_read import LimitedReadProtocol
 from ..memory_budget import Charge, MemoryBudget
 from ..timers import now_ns
+from .call_limits import (
+    COMPLETION_TIMEOUT_NS,
+    CONNECT_TIMEOUT_NS,
+    HEARTBEAT_INTERVAL_NS,
+    MAX_COMPLETION_TIMEOUT_NS,
+    MIN_BYTES_PER_S,
+    OBJECT_PAUSE_NS,
+    READ_TIMEOUT_NS,
+    RESPONSE_TIMEOUT_NS,
+)
 from .errors import (
+    CallTimeoutError,
     ConnectionLostError,
     DiscoveryCallError,
     MemoryExhaustedError,
     OversizedLineError,
     ResponseEndedError,
+    SlowResponseError,
     TruncatedUpdateError,
 )
 from .object_assembler import ObjectAssembler
@@ -26,20 +38,6 @@
 __all__ = ["MAX_LINE_BYTES", "CallOwner", "CallState", "DiscoveryCall"]
 
 PATH = "/registry/instances"
-HEARTBEAT_INTERVAL_NS = 2 * SECOND
-"""Interval at which discovery sends an empty line while nothing changes."""
-READ_TIMEOUT_NS = HEARTBEAT_INTERVAL_NS * 3 // 2
-"""Maximum time without data on a watch: one and a half heartbeat intervals.  The gateway counts as notified
-of missed changes 6 s after the last data; the remaining 3 s are for the random delay of the balancer's next
-call and for the time that the call queues at discovery."""
-RESPONSE_TIMEOUT_NS = 4 * SECOND
-"""Maximum time from the start of the call to the first bytes.  Discovery serves all gateways, so a call may
-queue there, which cannot be distinguished from a failure of discovery.  The gateway counts as notified of
-missed changes 6 s after discovery stopped responding; the remaining time is for another call."""
-CONNECT_TIMEOUT_NS = 1 * SECOND
-"""Maximum time to establish the connection."""
-PARTIAL_OBJECT_TIMEOUT_NS = SECOND // 2
-"""Maximum time without data within a multi-line object; after that the call has timed out."""
 MAX_LINE_BYTES = 8 * 1024 * 1024
 """Maximum length of a line or of a multi-line object."""
 BUFFER_COPIES = 3
@@ -95,7 +93,12 @@
         self._budget = owner.memory_budget
         self._charge = Charge(self._budget)
         self._started_ns = now_ns()
-        self._last_received_ns = 0
+        self.last_received_ns = 0
+        """Time at which data was last received, monotonic ns."""
+        self.incomplete_bytes = 0
+        """Size of the received part of an update that is incomplete."""
+        self._begun_ns = 0  # first bytes of the update that is incomplete
+        self._last_completed_ns = 0  # the last update or heartbeat, or the first bytes of the response
 
     @property
     def is_closed(self) -> bool:
@@ -127,12 +130,11 @@
         except DiscoveryCallError as error:
             self._owner.on_call_ended(self, error)
             return
-        self.state = CallState.RECEIVING
-        self._last_received_ns = now_ns()
+        self._record_received()
         for line in self._response.take_lines():
             if not self.is_closed:  # the owner may close the call while it handles a line
                 self._handle_line(line)
-        buffered_bytes = self._response.buffered_size + len(self._partial_object)
+        buffered_bytes = self.incomplete_bytes = self._response.buffered_size + len(self._partial_object)
         if not self.is_closed:
             self._charge.set(buffered_bytes * BUFFER_COPIES)
         if buffered_bytes > MAX_LINE_BYTES:
@@ -142,20 +144,39 @@
         elif self._response.is_complete and not self.is_closed:
             self._handle_end()
 
+    def _record_received(self) -> None:
+        """Record when data was received, and whether it begins the response or an update."""
+        self.last_received_ns = now_ns()
+        if self.state is not CallState.RECEIVING:
+            self.state = CallState.RECEIVING
+            self._last_completed_ns = self.last_received_ns
+        if not self.incomplete_bytes:
+            self._begun_ns = self.last_received_ns
+
     def _handle_line(self, line: bytes) -> None:
         """Handle a line of a watch: an object, a part of an indented object, or a heartbeat."""
         if not line.strip():
             if self._partial_object:
                 self._owner.on_call_ended(self, TruncatedUpdateError())
             else:
+                self._record_completed()
                 self._owner.on_heartbeat()
         elif self._partial_object or not self._owner.on_update(self, line):
             self._add_to_object(line)
+        else:
+            self._record_completed()
+
+    def _record_completed(self) -> None:
+        """Record the end of an update or heartbeat; another one may have begun with the same bytes."""
+        self._begun_ns = self._last_completed_ns = self.last_received_ns
 
     def _add_to_object(self, line: bytes) -> None:
         """Add a line to an indented object, and handle the object once its brackets are closed."""
         text = self._partial_object.add(line)
-        if text is not None and not self._owner.on_update(self, text):
+        if text is None:
+            return
+        self._record_completed()
+        if not self._owner.on_update(self, text):
             self._owner.on_call_ended(self, TruncatedUpdateError())
 
     def _handle_end(self) -> None:
@@ -171,14 +192,32 @@
         self._owner.on_call_ended(self, ConnectionLostError(exc))
         self._response.release()
 
-    def has_timed_out(self, now: int) -> bool:
-        """Whether the call has timed out: a peer may fail without closing the connection."""
+    def timeout_error(self, now: int) -> DiscoveryCallError | None:
+        """Return the reason if the call has timed out: a peer may fail without closing the connection."""
         if self.state is CallState.CONNECTING:
-            return now - self._started_ns > CONNECT_TIMEOUT_NS
-        if self.state is CallState.AWAITING_RESPONSE:
-            return now - self._started_ns > RESPONSE_TIMEOUT_NS
-        timeout_ns = PARTIAL_OBJECT_TIMEOUT_NS if self._partial_object else READ_TIMEOUT_NS
-        return now - self._last_received_ns > timeout_ns
+            has_timed_out = now - self._started_ns > CONNECT_TIMEOUT_NS
+        elif self.state is CallState.AWAITING_RESPONSE:
+            has_timed_out = now - self._started_ns > RESPONSE_TIMEOUT_NS
+        else:
+            has_timed_out = now - self.last_received_ns > READ_TIMEOUT_NS
+        if has_timed_out:
+            return CallTimeoutError()
+        return SlowResponseError() if self._exceeds(MAX_COMPLETION_TIMEOUT_NS, now) else None
+
+    def is_slow(self, now: int) -> bool:
+        """Whether an update takes so long that another call may bring it sooner."""
+        if self._partial_object and now - self.last_received_ns > OBJECT_PAUSE_NS:
+            return True
+        return self._exceeds(COMPLETION_TIMEOUT_NS, now)
+
+    def _exceeds(self, timeout_ns: int, now: int) -> bool:
+        """Whether data arrives, but the update that it belongs to takes longer than this."""
+        if self.state is not CallState.RECEIVING:
+            return False
+        if not self.incomplete_bytes:  # the head, or the framing between two updates
+            return now - self._last_completed_ns > timeout_ns + HEARTBEAT_INTERVAL_NS
+        size_ns = self.incomplete_bytes * SECOND // MIN_BYTES_PER_S
+        return now - self._begun_ns > timeout_ns + size_ns
 
     def close(self) -> None:
         """Close the call without notifying its owner."""
--- a/gateway/discovery/discovery.py
+++ b/gateway/discovery/discovery.py
@@ -16,7 +16,6 @@
 from .call import DiscoveryCall
 from .endpoint_list_parser import EndpointListParser, EndpointListUpdate, ListedEndpoint
 from .errors import (
-    CallTimeoutError,
     ConnectFailedError,
     DiscoveryCallError,
     EndpointListError,
@@ -70,7 +69,8 @@
         self._backoff = Backoff(drain_grace_ns)
         self._notify = notify
         self.current_watch: DiscoveryCall | None = None
-        self._replacement_watch: DiscoveryCall | None = None  # on a new address, until its first update
+        # On a new address, or beside a slow watch on the same one, until its first update.
+        self._replacement_watch: DiscoveryCall | None = None
         self._fetch_call: DiscoveryCall | None = None
         self._has_list = False  # received from discovery; the cached list does not count
 
@@ -129,10 +129,14 @@
         self._open_replacement(self.address_version)
 
     def sweep(self, now: int) -> None:
-        """End calls that have timed out."""
+        """End calls that have timed out, and open a second watch beside a slow one."""
         for call in (self.current_watch, self._replacement_watch, self._fetch_call):
-            if call is not None and call.has_timed_out(now):
-                self.on_call_ended(call, CallTimeoutError())
+            if call is not None and (error := call.timeout_error(now)) is not None:
+                self.on_call_ended(call, error)
+        watch = self.current_watch
+        if watch is not None and self._replacement_watch is None and watch.is_slow(now):
+            log.info("a discovery call is slow; opening another one")
+            self._replacement_watch = self._call(True)
 
     def close(self) -> None:
         """Close all calls, when the process exits."""
@@ -190,6 +194,9 @@
             # The old watch is closed first: its updates must not be applied after those of the new address.
             self._close(self.current_watch)
             self.current_watch, self._replacement_watch = call, None
+        elif call is self.current_watch and self._watches_current_address():
+            self._close(self._replacement_watch)
+            self._replacement_watch = None
         if call.address_version == self.address_version:
             self.generation = update.generation
         self._backoff.reset()
--- a/gateway/discovery/errors.py
+++ b/gateway/discovery/errors.py
@@ -14,6 +14,7 @@
     "MemoryExhaustedError",
     "OversizedLineError",
     "ResponseEndedError",
+    "SlowResponseError",
     "TruncatedUpdateError",
     "UnexpectedStatusError",
     "UpdateTooLargeError",
@@ -111,3 +112,10 @@
 
     def __init__(self) -> None:
         super().__init__("timed out without data")
+
+
+class SlowResponseError(DiscoveryCallError):
+    """Discovery has sent data, but too little to complete an update in time."""
+
+    def __init__(self) -> None:
+        super().__init__("update not complete in time")
