A connect that fails for a moment is repeated before its attempt fails

Cause, by their traces: the failed connect ended the attempt, and the retry waited the gap T1 of 3.6 s. It then met the next failure or had no time left, and other requests waited in the queue for 3 s.

Change: Upstream repeats a connect up to three times, after 1, 4 and 16 ms, within the time limit of the connect. Nothing has been sent by then: gap and chance of retries are as before. ECONNREFUSED and ECONNRESET come from the endpoint's machine and are reported at once, as before.

--- a/gateway/upstream/upstream.py
+++ b/gateway/upstream/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 from collections.abc import Iterable
 
@@ -24,6 +25,10 @@
 """Share of the endpoints' idle timeout after which the gateway closes idle connections, well before the
 endpoints do."""
 DEFAULT_MAX_IDLE_NS = 10 * SECOND
+CONNECT_PAUSES_S = (0.001, 0.004, 0.016)
+"""Pauses before a failed connect is repeated, seconds."""
+LASTING_CONNECT_ERRORS = frozenset((errno.ECONNREFUSED, errno.ECONNRESET))
+"""Errors that the endpoint's machine has sent: no process listens there."""
 
 
 class Upstream:
@@ -127,12 +132,27 @@
         )
 
     async def _connect(self, connection: EndpointConnection) -> None:
-        try:
-            await self._loop.create_connection(lambda: connection, *connection.endpoint.address)
-        except OSError:
+        """Open a connection; a failure that may last for a moment only does not end its attempt at once.
+
+        Nothing has been sent by then, so that another connect is not a retry of the request.
+        """
+        error = await self._try_connect(connection)
+        for pause_s in CONNECT_PAUSES_S:
+            if error is None or error.errno in LASTING_CONNECT_ERRORS:
+                break
+            await asyncio.sleep(pause_s)  # cancelled at the time limit of the connect
+            error = await self._try_connect(connection)
+        if error is not None:
             connection.task = None
             connection.end_attempt(Outcome.CONNECT_FAILED)
 
+    async def _try_connect(self, connection: EndpointConnection) -> OSError | None:
+        try:
+            await self._loop.create_connection(lambda: connection, *connection.endpoint.address)
+        except OSError as error:
+            return error
+        return None
+
     def _expire_connect(self, connection: EndpointConnection) -> None:
         if not connection.was_established():
             connection.end_attempt(Outcome.CONNECT_FAILED)
--- a/tests/gateway/test_system_calls.py
+++ b/tests/gateway/test_system_calls.py
@@ -18,7 +18,7 @@
 import pytest
 
 from balancer import MS
-from tests.support.loopback import FakeDiscovery, FakeEndpoint, request
+from tests.support.loopback import CLOSING_RESPONSE, OK_RESPONSE, FakeDiscovery, FakeEndpoint, request
 from tests.support.processes import connect, start_gateway, write_config
 
 SOURCE = Path(__file__).parent.parent / "support" / "failing_system_calls.c"
@@ -39,14 +39,15 @@
 
 
 async def start_gateway_with_faults(
-    path: Path, faults: str
+    path: Path, faults: str, endpoints: int = 3, reply: bytes = OK_RESPONSE, retries_soon: bool = True
 ) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
-    """Start a gateway with injected faults, three endpoints, and request classes whose retries come soon."""
-    endpoints = [await FakeEndpoint(f"h{number}").start() for number in range(3)]
+    """Start a gateway with injected faults; `retries_soon`: with request classes whose retries come soon."""
+    started = [await FakeEndpoint(f"h{number}", reply).start() for number in range(endpoints)]
     discovery = await FakeDiscovery().start()
-    config = write_config(path, discovery, *endpoints)
-    classes = [{**row, "slo-ns": 500 * MS} for row in config["settings"]["request-classes"]]
-    config["settings"] = {**config["settings"], "request-classes": classes}
+    config = write_config(path, discovery, *started)
+    if retries_soon:
+        classes = [{**row, "slo-ns": 500 * MS} for row in config["settings"]["request-classes"]]
+        config["settings"] = {**config["settings"], "request-classes": classes}
     path.write_text(json.dumps(config))
     return await start_gateway(path, LD_PRELOAD=str(compile_library()), FAULTS=faults)
 
@@ -119,6 +120,27 @@
     await end_process(process, gracefully="," in faults)
 
 
+@pytest.mark.parametrize(
+    "faults",
+    [
+        "connect:ECONNABORTED:7",
+        "connect:EADDRNOTAVAIL:7",
+        "connect:ENETUNREACH:7",
+        "connect:EHOSTUNREACH:7",
+        "connect:ETIMEDOUT:7",
+        "socket:ENFILE:7",
+        "socket:ENOBUFS:7",
+    ],
+)
+async def test_a_failed_connect_costs_no_request(faults: str, tmp_path: Path) -> None:
+    """Issue 29, item 5: the request waited for the gap before a retry, and so did those behind it."""
+    process, address = await start_gateway_with_faults(
+        tmp_path / "c", faults, endpoints=2, reply=CLOSING_RESPONSE, retries_soon=False
+    )
+    assert await send_all(address) == [200] * REQUESTS
+    await end_process(process, gracefully=False)
+
+
 @pytest.mark.parametrize(
     "faults",
     [
