Requests of several reads count from the first of them

Cause: a read that fills the buffer leaves older bytes in the socket, but the next read counted as just arrived, and the request with it.

Change: after a full read, the next one may be as old, unless the socket was seen empty in between.

The test of the backlog, now also with a body of 60,000 bytes, and the one of ReadControl fail without the change.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -111,17 +111,15 @@
             return
         self._server.connections.mark_active(self)
         now = now_ns()
-        self._earliest_arrival_ns = min(
-            self.reading.earliest_arrival(len(data), now), self._server.loop_monitor.earliest_arrival(now)
-        )
         assert self._transport is not None
         transport_socket = self._transport.get_extra_info("socket")
         self._server.dispatcher.telemetry.record_read_age(transport_socket)
-        if self._has_waited:
-            self._has_waited = False
-            self._earliest_arrival_ns = min(
-                self._earliest_arrival_ns, now - unread_age_ms(transport_socket) * MS
-            )
+        age_ns = unread_age_ms(transport_socket) * MS if self._has_waited else 0
+        self._has_waited = False
+        self._earliest_arrival_ns = min(
+            self.reading.earliest_arrival(len(data), now, age_ns),
+            self._server.loop_monitor.earliest_arrival(now),
+        )
         if not self._parser.in_message and self.has_sent_valid_request:
             self.waiting_since_ns = now  # not for the first request, whose timeout runs from the connect
         self._unparsed.add(data)
--- a/gateway/client/read_control.py
+++ b/gateway/client/read_control.py
@@ -27,11 +27,15 @@
         self._transport = transport
         self._unread_since_ns = earliest_connect_ns if earliest_connect_ns < now else 0
 
-    def earliest_arrival(self, size_bytes: int, now: int) -> int:
-        """Return the earliest time, ns, at which a read of `size_bytes` at `now` may have arrived."""
-        earliest_ns = self._unread_since_ns or now
-        if size_bytes < READ_SIZE_BYTES:  # the read has emptied the socket
-            self._unread_since_ns = 0
+    def earliest_arrival(self, size_bytes: int, now: int, age_ns: int = 0) -> int:
+        """Return the earliest time, ns, at which a read of `size_bytes` at `now` may have arrived.
+
+        `age_ns` is the time since the last bytes arrived, if it is known.  After a full read more bytes may
+        be unread, which may be as old as those that were read.
+        """
+        earliest_ns = min(self._unread_since_ns or now, now - age_ns)
+        is_emptied = size_bytes < READ_SIZE_BYTES
+        self._unread_since_ns = 0 if is_emptied else earliest_ns
         return earliest_ns
 
     def pause(self, now: int) -> None:
--- a/tests/gateway/test_event_loop_stalls.py
+++ b/tests/gateway/test_event_loop_stalls.py
@@ -13,6 +13,8 @@
 
 from balancer import MS
 from gateway.client import listener
+from gateway.client.read_control import ReadControl
+from gateway.limited_read import READ_SIZE_BYTES
 from gateway.loop_monitor import HEARTBEAT_INTERVAL_NS, HEARTBEAT_TOLERANCE_NS, LoopMonitor
 from gateway.timers import Timers, now_ns
 from tests.support.event_control import BlockingClient
@@ -139,13 +141,27 @@
     assert monitor.earliest_arrival(later) < later
 
 
+def test_bytes_behind_a_full_read_may_be_as_old_as_that_read() -> None:
+    reading = ReadControl()
+    assert reading.earliest_arrival(READ_SIZE_BYTES, 100) == 100
+    assert reading.earliest_arrival(READ_SIZE_BYTES, 250) == 100
+    assert reading.earliest_arrival(10, 400) == 100  # empties the socket
+    assert reading.earliest_arrival(READ_SIZE_BYTES, 1000, age_ns=700) == 300
+    assert reading.earliest_arrival(10, 1200) == 300
+    assert reading.earliest_arrival(10, 1300) == 1300
+
+
 BACKLOG_NS = 200 * MS
 
 
+@pytest.mark.parametrize("body_bytes", [0, 60_000])
 async def test_the_time_in_the_backlog_counts_while_the_event_loop_runs(
-    monkeypatch: pytest.MonkeyPatch,
+    body_bytes: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Report 168279: requests that waited for accept in a crowd were sent after their clients had closed."""
+    """Report 168279: requests that waited for accept in a crowd were sent after their clients had closed.
+
+    Issue 29, item 3: so were those of several reads, of which the last one counted as just arrived.
+    """
     monkeypatch.setattr(listener, "ACCEPTS_PER_ITERATION", 1)
     accept_one = listener.Listener._accept_one  # noqa: SLF001 - replaced to hold connections in the backlog
     started_ns = now_ns()
@@ -163,10 +179,10 @@
         endpoint = FakeEndpoint()
         await harness.start(endpoint)
         first, leaving, short, patient = [BlockingClient(harness.gateway_address) for _ in range(4)]
-        leaving.sock.sendall(request("once", request_id="left"))
+        leaving.sock.sendall(request("once", request_id="left", body=bytes(body_bytes)))
         leaving.close()
         short.sock.sendall(request(request_id="short", X_Timeout_Ms=str(BACKLOG_NS // MS // 2)))
-        patient.sock.sendall(request(request_id="patient"))
+        patient.sock.sendall(request("once", request_id="patient", body=bytes(body_bytes)))
         received = await endpoint.received.get()
         assert received.headers["x-request-id"] == "patient"
         assert int(received.headers["x-timeout-ms"]) <= 6000 - BACKLOG_NS // MS
