Received bytes and parsed requests of a connection in a module of their own

RequestReader takes over the bytes of the last read, the parser's use of them and the requests that wait; the behaviour is unchanged, and so are the tests.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import logging
-from collections import deque
 from typing import TYPE_CHECKING, cast
 
 from balancer import MS
 
-from ..framing import ReceivedBytes
 from ..limited_read import LimitedReadProtocol
-from ..memory_budget import OBJECT_BYTES, Charge, Priority
+from ..memory_budget import Charge, Priority
 from ..sockets import poll_socket, reset_on_close, unread_age_ms
 from ..telemetry import CloseReason, CounterName, GatewayReason
 from ..timers import now_ns
@@ -19,7 +17,8 @@
 from .errors import InvalidRequestError
 from .exchange import Exchange
 from .read_control import ReadControl
-from .request_parser import ParsedRequest, RequestParser
+from .request_parser import ParsedRequest
+from .request_reader import RequestReader
 from .response_queue import ResponseQueue
 from .timeouts import FIRST_REQUEST_TIMEOUT_NS, IDLE_TIMEOUT_NS, LINGER_TIMEOUT_NS, SLOW_CLIENT_TIMEOUT_NS
 from .turn_queue import REQUESTS_PER_TURN
@@ -62,9 +61,8 @@
         self.reading = ReadControl()
         self._server = server
         self._lifecycle = ConnectionLifecycle()
-        self._parser = RequestParser(self)
-        self._unparsed = ReceivedBytes()  # of the last read
-        self._received: deque[ParsedRequest] = deque()  # parsed and not handled yet
+        self._reader = RequestReader(self)
+        self._parser = self._reader.parser
         self._earliest_arrival_ns = 0  # earliest time at which the last read may have arrived
         self._unwritten = UnwrittenResponses()
         self._charge = Charge(server.dispatcher.memory_budget, self._reclaim)
@@ -96,7 +94,7 @@
             self.number, self._close_reason, self._parser.in_message
         )
         self._parser.release()
-        self._discard_unhandled()
+        self._reader.discard()
         self._server.turns.discard(self)
         for exchange in self.queue:
             self._abandon(exchange)
@@ -122,7 +120,7 @@
         )
         if not self._parser.in_message and self.has_sent_valid_request:
             self.waiting_since_ns = now  # not for the first request, whose timeout runs from the connect
-        self._unparsed.add(data)
+        self._reader.add(data)
         self.handle_received()
         if self.has_unhandled:
             self._server.dispatcher.telemetry.count(CounterName.DEFERRED)
@@ -162,11 +160,11 @@
 
     def on_request(self, request: ParsedRequest) -> None:
         """Store a complete request; it is handled in the connection's turn."""
-        self._received.append(request)
+        self._reader.append(request)
 
     def on_expect_continue(self) -> None:
         """Send 100 Continue, unless earlier requests are open: it would be taken for their response."""
-        if self._transport is not None and not self.queue and not self._received:
+        if self._transport is not None and not self.queue and not self._reader.has_requests:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     # Interface for exchanges and the server.
@@ -174,18 +172,19 @@
     @property
     def has_unhandled(self) -> bool:
         """Whether some of the received bytes have not been handled yet."""
-        return bool(self._received or self._unparsed)
+        return not self._reader.is_empty
 
     def handle_received(self) -> None:
         """Handle received requests, at most `REQUESTS_PER_TURN`; the others wait for a later turn."""
         for _ in range(REQUESTS_PER_TURN):
-            if not self._may_handle() or not self._parse_until_request():
+            request = self._reader.take_request() if self._may_handle() else None
+            if request is None:
                 break
-            self._handle_request(self._received.popleft())
-        if not self._received:  # errors come after the requests that were received before them
+            self._handle_request(request)
+        if not self._reader.has_requests:  # errors come after the requests that were received before them
             self._handle_parser_stop()
         if not self._lifecycle.is_open:
-            self._discard_unhandled()
+            self._reader.discard()
         # Must come last: requests answered immediately have already left the queue.
         if self.has_unhandled or self.queue.is_full or self.queue.is_flooded:
             self.reading.pause(now_ns())
@@ -309,9 +308,8 @@
         It does not if another request has arrived, as that would get no response.
         """
         return (
-            not self.queue
+            self.is_between_requests()
             and self._server.closes_after_response(self)
-            and self.is_between_requests()
             and not self._has_unread_input()
         )
 
@@ -348,12 +346,6 @@
         """Whether a received request may be handled now: its response can be queued and written."""
         return self._lifecycle.is_open and not (self.queue.is_at_capacity or self._unwritten.is_blocked)
 
-    def _parse_until_request(self) -> bool:
-        """Parse received bytes up to the end of a request; whether there is a request to handle."""
-        while not self._received and self._unparsed and not self._parser.has_stopped:
-            self._parser.feed(self._unparsed.take_piece(self._parser.expected_body_bytes))
-        return bool(self._received)
-
     def _handle_request(self, request: ParsedRequest) -> None:
         """Queue a request and pass it to the server."""
         if not request.keep_alive:
@@ -375,10 +367,6 @@
         if self._parser.error is not None and self._lifecycle.is_open:
             self._respond_closing_error(self._parser.error)
 
-    def _discard_unhandled(self) -> None:
-        self._received.clear()
-        self._unparsed.clear()
-
     def _update_charge(self) -> None:
         """Charge what the connection stores now to the memory budget."""
         if self._transport is None or self._lifecycle.state is ConnectionState.CLOSED:
@@ -386,10 +374,8 @@
         parser = self._parser
         queued_bytes = self.queue.stored_bytes
         size_bytes = CONNECTION_BYTES + self._unwritten.size_bytes + queued_bytes
-        if self._unparsed:
-            size_bytes += len(self._unparsed) + OBJECT_BYTES
-        if self._received:
-            size_bytes += sum(request.stored_bytes for request in self._received)
+        if self.has_unhandled:
+            size_bytes += self._reader.waiting_bytes
         priority = None
         if parser.in_message and self._lifecycle.is_open:
             size_bytes += parser.stored_bytes
