--- a/gateway/discovery/call.py
+++ b/gateway/discovery/call.py
@@ -97,6 +97,8 @@
         """Time at which data was last received, monotonic ns."""
         self.incomplete_bytes = 0
         """Size of the received part of an update that is incomplete."""
+        self.has_second_watch = False
+        """Whether a second watch was opened beside this one for the update that is incomplete."""
         self._begun_ns = 0  # first bytes of the update that is incomplete
         self._last_completed_ns = 0  # the last update or heartbeat, or the first bytes of the response
 
@@ -169,6 +171,7 @@
     def _record_completed(self) -> None:
         """Record the end of an update or heartbeat; another one may have begun with the same bytes."""
         self._begun_ns = self._last_completed_ns = self.last_received_ns
+        self.has_second_watch = False
 
     def _add_to_object(self, line: bytes) -> None:
         """Add a line to an indented object, and handle the object once its brackets are closed."""
--- a/gateway/discovery/discovery.py
+++ b/gateway/discovery/discovery.py
@@ -99,6 +99,7 @@
             self.current_watch = self._call(True)
         elif active:
             self._open_replacement(self.address_version)
+            self._open_second_watch(now_ns())
         else:
             self._close(self.current_watch, self._replacement_watch)
             self.current_watch = self._replacement_watch = None
@@ -133,10 +134,9 @@
         for call in (self.current_watch, self._replacement_watch, self._fetch_call):
             if call is not None and (error := call.timeout_error(now)) is not None:
                 self.on_call_ended(call, error)
-        watch = self.current_watch
-        if watch is not None and self._replacement_watch is None and watch.is_slow(now):
-            log.info("a discovery call is slow; opening another one")
-            self._replacement_watch = self._call(True)
+        # If the second watch fails, the balancer decides when to open the next one.
+        if self.current_watch is not None and not self.current_watch.has_second_watch:
+            self._open_second_watch(now)
 
     def close(self) -> None:
         """Close all calls, when the process exits."""
@@ -148,6 +148,15 @@
         if is_current and self._replacement_watch is None and not self._watches_current_address():
             self._replacement_watch = self._call(True)
 
+    def _open_second_watch(self, now: int) -> None:
+        """Open a watch beside the current one if that is slow, as it may bring the update sooner."""
+        watch = self.current_watch
+        if watch is None or self._replacement_watch is not None or not watch.is_slow(now):
+            return
+        log.info("a discovery call is slow; opening another one")
+        watch.has_second_watch = True
+        self._replacement_watch = self._call(True)
+
     def _watches_current_address(self) -> bool:
         """Whether the current watch is on the current address."""
         watch = self.current_watch
--- a/tests/gateway/test_discovery_calls.py
+++ b/tests/gateway/test_discovery_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections import Counter
 
 import pytest
 
@@ -211,6 +212,30 @@
     assert (discovery.generation, harness.updates.empty()) == (46, True)
 
 
+async def test_a_second_watch_that_fails_is_repeated_only_when_the_balancer_calls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = await DiscoveryHarness.start()
+    server, discovery = harness.server, harness.discovery
+    await start_object(harness)
+    slow = discovery.current_watch
+    assert slow is not None
+    slow.last_received_ns -= SECOND  # a pause
+    discovery.sweep(now_ns())
+    _, writer = await asyncio.wait_for(server.calls.get(), 2)
+    writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+    assert await asyncio.wait_for(harness.updates.get(), 2) == (UpdateKind.FAILED, [])
+    opened = Counter[str]()
+    call = discovery._call  # noqa: SLF001 - counted
+    monkeypatch.setattr(discovery, "_call", lambda watch: opened.update(["call"]) or call(watch))
+    for _ in range(3):
+        discovery.sweep(now_ns())
+    assert not opened
+    discovery.watch(True)
+    assert opened.total() == 1
+    assert discovery.current_watch is slow
+
+
 async def test_an_update_that_never_ends_ends_its_call() -> None:
     harness = await DiscoveryHarness.start()
     harness.discovery.watch(True)
