A reset for discarded data comes only after the time to read the response

Found on reading again: a client that sends data behind its last request and then the end of its stream was closed right after the response, and the reset could destroy it. It is sent only when the time to read the response is over.

No test: on loopback the response arrives before the reset.

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -284,7 +284,9 @@
         """Close the connection without a further response, once the buffered data is written."""
         if self._transport is not None:
             self._close_reason = reason
-            if self._has_discarded_data:  # tells the client that what it sent last was not processed
+            # Tells the client that what it sent last was not processed.  By then it had time to read the
+            # response, which a reset may destroy.
+            if self._has_discarded_data and reason is CloseReason.AFTER_RESPONSE:
                 reset_on_close(self._transport)
             self._transport.close()
 
