The check for unread bytes after a full read takes one system call

Change: the check asks for the number of unread bytes (FIONREAD) instead of polling and then peeking at the end of the stream.

--- a/gateway/client/read_control.py
+++ b/gateway/client/read_control.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from ..limited_read import READ_SIZE_BYTES
-from ..sockets import poll_socket
+from ..sockets import poll_socket, unread_bytes
 
 __all__ = ["ReadControl"]
 
@@ -47,7 +47,7 @@
 
     def check_for_unread(self) -> None:
         """Check, after a full read, whether bytes are unread: a later read may return new ones only."""
-        if self._unread_since_ns and not poll_socket(self._transport).readable:
+        if self._unread_since_ns and not unread_bytes(self._transport):
             self._unread_since_ns = 0
 
     def resume(self) -> None:
--- a/gateway/sockets.py
+++ b/gateway/sockets.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Generator
 from contextlib import contextmanager, suppress
 from typing import NamedTuple
@@ -54,6 +57,18 @@
             return False
 
 
+def unread_bytes(transport: asyncio.Transport | None) -> int:
+    """Return the number of bytes that the event loop has not read yet, with one system call; 0 if unknown."""
+    transport_socket = transport.get_extra_info("socket") if transport is not None else None
+    if transport_socket is None or transport_socket.fileno() < 0:
+        return 0
+    try:
+        size = fcntl.ioctl(transport_socket.fileno(), termios.FIONREAD, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(size, sys.byteorder)
+
+
 def unread_age_ms(transport_socket: socket.socket) -> int:
     """Return the time since data last arrived in a TCP socket, in ms; 0 if the system does not report it."""
     try:
