--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -185,6 +185,8 @@
         self.generation = 41
         self.calls = 0
         self.address = ""
+        self.separators = (",", ":")
+        """Of the values in a list; JSON allows spaces there."""
         self._record = record
         self._watches: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -220,7 +222,7 @@
             while True:
                 target = (await reader.readuntil(b"\r\n\r\n")).split(b" ", 2)[1].decode()
                 self.calls += 1
-                text = json.dumps(self.known(), separators=(",", ":")).encode()
+                text = json.dumps(self.known(), separators=self.separators).encode()
                 if "watch=1" not in target:
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text))
                     continue
