Bodies in a transfer coding other than chunked are not read, on all paths

Cause: httptools decodes chunked only, but accepts any list of codings that ends in it, and in a response any other list as well. `ResponseParser` checked Content-Length and no coding, `ResponseReader` of discovery checked neither, and dropped nothing: a watch in "identity, chunked" or in "gzip" alone was taken as plain lines. `RequestParser` had a check of its own.

Change: `parse_body_length` in the new gateway/body_framing.py says how the head of a message delimits its body, or why it cannot be read; all three parsers call it once the head is complete. What is not chunked alone fails there: an attempt ends as INVALID_RESPONSE at the head and not at its deadline, a call of discovery fails before a line is taken, a request gets 400 as before.

--- a/gateway/client/request_parser.py
+++ b/gateway/client/request_parser.py
@@ -11,6 +11,7 @@
 import httptools
 
 from ..body_buffer import BodyBuffer
+from ..body_framing import FRAMING_HEADERS, BodyLengthError, FramingError, parse_body_length
 from ..framing import HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, field_value
 from .errors import InvalidRequestError
@@ -19,9 +20,9 @@
 
 MAX_HEADERS = 100
 """Maximum number of request headers."""
-MAX_CONTENT_LENGTH_DIGITS = 20
-"""Number of leading digits of Content-Length that are converted: a longer number exceeds the limit, unless it
-begins with zeros, and converting it is slow."""
+EXPECT = b"expect"
+CHECKED_HEADERS = FRAMING_HEADERS | {EXPECT}
+"""Headers that determine how the rest of a request is received, in lower case."""
 
 PARSED_REQUEST_BYTES = 400
 """Size of a parsed request besides its headers, target and body, bytes."""
@@ -168,23 +169,20 @@
         self._in_head = False
         if self.error is not None:
             return
-        framing: dict[bytes, list[bytes]] = {b"content-length": [], b"transfer-encoding": [], b"expect": []}
-        for name, value in self._headers:
-            values = framing.get(name.lower())
-            if values is not None:
-                values.append(value)
-        lengths, codings, expectations = framing.values()
-        if lengths and (codings or len(lengths) > 1):
-            self._record_error(400, "contradictory framing")
-        elif any(value.lower() != b"chunked" for value in codings):
-            self._record_error(400, "an unknown coding")
-        elif lengths and (
-            not lengths[0].isdigit() or int(lengths[0][:MAX_CONTENT_LENGTH_DIGITS]) > MAX_BODY_BYTES
-        ):
-            self._record_error(413, "a body too long")
+        fields = [header for header in self._headers if header[0].lower() in CHECKED_HEADERS]
+        if fields:
+            self._check_fields(fields)
+
+    def _check_fields(self, fields: list[Header]) -> None:
+        """Check the `CHECKED_HEADERS` of a head, and send 100 Continue if the client waits for it."""
+        try:
+            self._content_length = max(0, parse_body_length(fields, MAX_BODY_BYTES) or 0)
+        except BodyLengthError as error:
+            self._record_error(413, str(error))
+        except FramingError as error:
+            self._record_error(400, str(error))
         else:
-            self._content_length = int(lengths[0][:MAX_CONTENT_LENGTH_DIGITS]) if lengths else 0
-            if any(value.lower() == b"100-continue" for value in expectations):
+            if any(name.lower() == EXPECT and value.lower() == b"100-continue" for name, value in fields):
                 self._handler.on_expect_continue()
 
     def on_body(self, body: bytes) -> None:
--- a/gateway/discovery/response_reader.py
+++ b/gateway/discovery/response_reader.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import sys
+
 import httptools
 
+from ..body_framing import FramingError, parse_body_length
 from ..framing import FramingLimit, split_read
+from ..messages import Header, field_value
 from .errors import HeadTooLongError, MalformedResponseError, UnexpectedStatusError
 
 __all__ = ["ResponseReader"]
@@ -16,7 +20,8 @@
     """Incremental parser of the response to one call.
 
     httptools calls the `on_...` methods during `feed`.  They must not raise: httptools would raise
-    HttpParserCallbackError instead, which counts as malformed input.  They therefore only store values.
+    HttpParserCallbackError instead, which counts as malformed input.  They therefore only store values, and
+    an error is raised after `feed_data`.
     """
 
     def __init__(self, splits_lines: bool) -> None:
@@ -25,6 +30,8 @@
         self._framing = FramingLimit()
         self._parser = httptools.HttpResponseParser(self)
         self._status = 0
+        self._headers: list[Header] = []
+        self._error: MalformedResponseError | None = None
         self._lines: list[bytes] = []
         self._buffer = bytearray()
         self.is_complete = False
@@ -42,6 +49,8 @@
                 raise MalformedResponseError(error) from None
             if self._status not in (0, STATUS_OK):  # 0: the head is still incomplete
                 raise UnexpectedStatusError(self._status)
+            if self._error is not None:
+                raise self._error
             if self._framing.is_exceeded:
                 raise HeadTooLongError
 
@@ -64,13 +73,24 @@
         """Break the reference cycle with the parser, which only the garbage collector would free."""
         del self._parser
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header; trailers, which arrive after the head, are dropped."""
+        if not self._status:
+            self._headers.append((name, field_value(value)))
+
     def on_headers_complete(self) -> None:
-        """Store the status of the response."""
+        """Store the status of the response, and check that the body can be read."""
         self._status = self._parser.get_status_code()
+        try:
+            parse_body_length(self._headers, sys.maxsize)  # lines are limited, bodies are not
+        except FramingError as error:
+            self._error = MalformedResponseError(error)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, and split off the complete lines."""
         self._framing.restart()
+        if self._error is not None:
+            return
         self._buffer += body
         if self._splits_lines and b"\n" in body:
             *lines, partial_line = bytes(self._buffer).split(b"\n")
--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -5,6 +5,7 @@
 import httptools
 
 from ..body_buffer import BodyBuffer
+from ..body_framing import FramingError, parse_body_length
 from ..framing import HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, Response, field_value
 
@@ -15,16 +16,12 @@
     "InvalidResponseError",
     "MalformedResponseError",
     "ResponseParser",
+    "UnreadableBodyError",
     "UpgradeError",
 ]
 
-FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
-"""Headers that delimit the body; without them the body ends when the connection closes."""
 FIRST_FINAL_STATUS = 200
 """Lowest status of a final response; lower ones are interim (RFC 9110, 15.2)."""
-MAX_CONTENT_LENGTH_DIGITS = 20
-"""Number of leading digits of Content-Length that are converted: a longer number exceeds the limit, unless it
-begins with zeros, and converting it is slow."""
 
 
 class InvalidResponseError(Exception):
@@ -42,11 +39,18 @@
         super().__init__("response head or trailer too long")
 
 
+class UnreadableBodyError(InvalidResponseError):
+    """The response head does not delimit a body that can be read."""
+
+    def __init__(self, cause: FramingError) -> None:
+        super().__init__(f"unreadable response body: {cause}")
+
+
 class BodyTooLongError(InvalidResponseError):
-    """The response body exceeds the limit, or its Content-Length is not a number."""
+    """The response body exceeds the limit."""
 
     def __init__(self) -> None:
-        super().__init__("response body too long or Content-Length not a number")
+        super().__init__("response body too long")
 
 
 class UpgradeError(InvalidResponseError):
@@ -77,6 +81,7 @@
         "_framing",
         "_header_bytes",
         "_headers",
+        "_is_delimited",
         "_is_head_complete",
         "_parser",
         "error",
@@ -98,6 +103,7 @@
         self._body.clear()
         self._header_bytes = 0  # total length of names and values
         self._is_head_complete = False
+        self._is_delimited = False  # by a header; otherwise the body ends when the connection closes
         self._final_status = 0  # set once the response is complete
         self.is_complete = False
         """Whether a final response is completely received."""
@@ -144,14 +150,14 @@
                 self.error = UpgradeError()
             except httptools.HttpParserError as error:
                 self.error = MalformedResponseError(str(error) or "malformed")
-            if self._framing.is_exceeded and not self.is_complete:
+            if not self.is_complete and self._framing.is_exceeded:
                 self.error = HeadTooLongError()
-            if self.is_invalid:
+            if self.error is not None and self.is_invalid:
                 return
 
     def feed_eof(self) -> bool:
         """Handle the end of the stream and return whether it completes the response."""
-        if not self._is_head_complete or self.is_complete or self.error is not None or self._has_framing():
+        if not self._is_head_complete or self._is_delimited or self.is_complete or self.error is not None:
             return False
         self._final_status = self._parser.get_status_code()
         self.is_complete = True
@@ -165,10 +171,6 @@
         """Break the reference cycle with httptools' parser, which only the garbage collector would free."""
         del self._parser
 
-    def _has_framing(self) -> bool:
-        """Whether a header delimits the body (RFC 9112, 6.3)."""
-        return any(name.lower() in FRAMING_HEADERS for name, _ in self._headers)
-
     # ---- Called by httptools -----------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
@@ -185,13 +187,14 @@
             self._headers.append((name, field_value(value)))
 
     def on_headers_complete(self) -> None:
-        """Check Content-Length once the head is complete."""
+        """Check that the body can be read, once the head is complete."""
         self._is_head_complete = True
         if self.is_complete:  # the head belongs to a second message
             return
-        for name, value in self._headers:
-            if name.lower() == b"content-length" and not _is_valid_content_length(value):
-                self.error = BodyTooLongError()
+        try:
+            self._is_delimited = parse_body_length(self._headers, MAX_BODY_BYTES) is not None
+        except FramingError as error:
+            self.error = UnreadableBodyError(error)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, up to the limit."""
@@ -214,7 +217,3 @@
             self.is_complete = True
             # Must be read here: httptools discards it when this callback returns.
             self.keeps_alive = self._parser.should_keep_alive()
-
-
-def _is_valid_content_length(value: bytes) -> bool:
-    return value.isdigit() and int(value[:MAX_CONTENT_LENGTH_DIGITS]) <= MAX_BODY_BYTES
--- a/tests/gateway/test_request_parser.py
+++ b/tests/gateway/test_request_parser.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from gateway.client.request_parser import ParsedRequest, RequestParser
+from gateway.client.request_parser import RequestParser
 from gateway.messages import MAX_BODY_BYTES
 from tests.support.loopback import FakeEndpoint, GatewayHarness, request
+from tests.support.request_handler import RecordingHandler
 
 CHUNKED_HEAD = request("once", omit_header="Content-Length", Transfer_Encoding="chunked")
 ENDLESS_REQUESTS = {
@@ -21,19 +22,6 @@
 """Beginnings of requests by the part that does not end."""
 
 
-class RecordingHandler:
-    """Records the requests of a parser."""
-
-    def __init__(self) -> None:
-        self.requests: list[ParsedRequest] = []
-
-    def on_request(self, request: ParsedRequest) -> None:
-        self.requests.append(request)
-
-    def on_expect_continue(self) -> None:
-        pass
-
-
 @pytest.mark.parametrize("read_size", [100, 4096, MAX_BODY_BYTES])
 @pytest.mark.parametrize("beginning", ENDLESS_REQUESTS.values(), ids=ENDLESS_REQUESTS)
 def test_a_part_that_does_not_end_is_rejected_before_it_fills_the_memory(
