An invalid response stays invalid if another response follows it

Callers could get 200 with an empty or cut body: a chunked body over the limit, or in an unknown coding, whose end and a second response came in one piece of a read was served.

Cause: `ResponseParser.error` is that of the last violation, and the error of a second response means that the first one is valid. The end of a message made the response complete even if it already had an error, which the second response then replaced.

Change: a response with an error never becomes complete.

Evidence: the three new rows (unknown coding, body of 65,537 bytes, a 503 that says it was not processed) failed before: the outcome was not INVALID_RESPONSE. They pass now.

--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -106,7 +106,7 @@
         self._is_delimited = False  # by a header; otherwise the body ends when the connection closes
         self._final_status = 0  # set once the response is complete
         self.is_complete = False
-        """Whether a final response is completely received."""
+        """Whether a final response is completely received, without an error up to its end."""
         self.error: InvalidResponseError | None = None
         self.has_begun = False
         """Whether any byte was received."""
@@ -212,7 +212,7 @@
         if status < FIRST_FINAL_STATUS:
             self._headers.clear()
             self._is_head_complete = False
-        elif not self.is_complete:  # a second message must not change the status
+        elif not self.is_complete and self.error is None:  # a second message must not change the status
             self._final_status = status
             self.is_complete = True
             # Must be read here: httptools discards it when this callback returns.
--- a/tests/gateway/test_response_parser.py
+++ b/tests/gateway/test_response_parser.py
@@ -121,6 +121,29 @@
         await received.wait_closed()
 
 
+CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: %b\r\n\r\n%x\r\n%b\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        CHUNKED_RESPONSE % (b"gzip, chunked", 4, b"done"),
+        CHUNKED_RESPONSE % (b"chunked", MAX_BODY_BYTES + 1, b"x" * (MAX_BODY_BYTES + 1)),
+        b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    ],
+    ids=["unknown coding", "too long", "rejection"],
+)
+async def test_an_invalid_response_stays_invalid_if_another_one_follows(response: bytes) -> None:
+    """Found beside review/10: the error of the second response replaced that of the first."""
+    harness, endpoint = UpstreamHarness(), await FakeEndpoint(reply=None).start()
+    harness.update_endpoint(endpoint.address)
+    _, result = harness.start_attempt()
+    received = await endpoint.received.get()
+    received.reply(response + OK_RESPONSE)
+    assert await result == (Outcome.INVALID_RESPONSE, None)
+    await received.wait_closed()
+
+
 async def test_response_followed_by_other_data_is_invalid() -> None:
     harness, endpoint = UpstreamHarness(), await FakeEndpoint(reply=None).start()
     harness.update_endpoint(endpoint.address)
