A request that offers an upgrade reaches an endpoint with its body

A body that came later, or never, was not waited for.

Cause: on an upgrade, httptools reports the end of the message right after the head and leaves the rest to its caller (HttpParserUpgrade). `RequestParser` took that for the end of the request, and the connection discarded what followed.

Change: the end of a message that offers an upgrade and has a body is not the end of the request. A second httptools parser, which is fed a head with the same framing and without the offer, reads the body: length, chunks, extensions, trailers and limits are those of any other request. Such a request closes its connection after the response, as before, since another protocol may follow. `ParsedRequest.keep_alive` says so, which replaces `ClientConnection._decline_upgrade`. An upgrade with an unreadable body now gets its error (it got a close without one).

--- a/gateway/client/connection.py
+++ b/gateway/client/connection.py
@@ -181,8 +181,10 @@
             if request is None:
                 break
             self._handle_request(request)
-        if not self._reader.has_requests:  # errors come after the requests that were received before them
-            self._handle_parser_stop()
+        error = self._parser.error
+        # Errors come after the requests that were received before them.
+        if error is not None and self._lifecycle.is_open and not self._reader.has_requests:
+            self._respond_closing_error(error)
         if not self._lifecycle.is_open:
             self._reader.discard()
         # Must come last: requests answered immediately have already left the queue.
@@ -361,14 +363,6 @@
             if exchange.response is None:
                 exchange.send_failure()
 
-    def _handle_parser_stop(self) -> None:
-        """Respond if the parser has stopped at an upgrade or an error."""
-        # The upgrade must come first: it changes the connection state, after which an error gets no response.
-        if self._parser.is_upgrade:
-            self._decline_upgrade()
-        if self._parser.error is not None and self._lifecycle.is_open:
-            self._respond_closing_error(self._parser.error)
-
     def _update_charge(self) -> None:
         """Charge what the connection stores now to the memory budget."""
         if self._transport is None or self._lifecycle.state is ConnectionState.CLOSED:
@@ -432,16 +426,6 @@
             if exchange.response is None and exchange.request is not None:
                 self._server.dispatcher.on_client_half_closed(exchange.request)
 
-    def _decline_upgrade(self) -> None:
-        """Ignore an upgrade request: respond over HTTP/1.1, then close, as the parser has stopped."""
-        self._lifecycle.handle(ConnectionEvent.LAST_REQUEST)
-        last = self.queue.last
-        if last is None:
-            self._close_write_side()
-        else:
-            # The connection closes once this response is written, which may be deferred or behind others.
-            last.closes_connection = True
-
     def _respond_closing_error(self, error: InvalidRequestError) -> None:
         """Queue an error response that closes the connection, as the rest of the request is not read."""
         self._lifecycle.handle(ConnectionEvent.LAST_REQUEST)
--- a/gateway/client/connection_state.py
+++ b/gateway/client/connection_state.py
@@ -65,7 +65,6 @@
     _State.LINGERING: {
         _Event.LAST_REQUEST: _State.LINGERING,
         _Event.CLIENT_ENDED: _State.BOTH_ENDED,
-        # Occurs again if the response to an upgrade request has already closed the gateway's direction.
         _Event.GATEWAY_ENDED: _State.LINGERING,
         _Event.LOST: _State.CLOSED,
     },
--- a/gateway/client/request_parser.py
+++ b/gateway/client/request_parser.py
@@ -6,12 +6,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import httptools
 
 from ..body_buffer import BodyBuffer
-from ..body_framing import FRAMING_HEADERS, BodyLengthError, FramingError, parse_body_length
+from ..body_framing import (
+    CHUNKED_LENGTH,
+    FRAMING_HEADERS,
+    BodyLengthError,
+    FramingError,
+    parse_body_length,
+)
 from ..framing import HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, field_value
 from .errors import InvalidRequestError
@@ -61,16 +68,39 @@
         """Send 100 Continue, for which the client waits before it sends its body (RFC 9110, 10.1.1)."""
 
 
+class BodyCallbacks:
+    """Callbacks of an httptools parser that gets the body of a request after a head that is none of it."""
+
+    def __init__(
+        self,
+        on_body: Callable[[bytes], None],
+        on_trailer: Callable[[bytes, bytes], None],
+        on_message_complete: Callable[[], None],
+    ) -> None:
+        self.on_body = on_body
+        self.on_message_complete = on_message_complete
+        self._on_trailer = on_trailer
+        self._in_head = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Report a trailer, and ignore the headers before the body."""
+        if not self._in_head:
+            self._on_trailer(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Record that the body follows."""
+        self._in_head = False
+
+
 class RequestParser:
     """Parses the byte stream of one connection into requests."""
 
     def __init__(self, handler: ParserHandler) -> None:
         self.error: InvalidRequestError | None = None
         """The first framing or limit violation; the handler receives no request after it."""
-        self.is_upgrade = False
-        """Whether a request wants a protocol upgrade: the parser stops there."""
         self.in_message = False
         """Whether a request is partly received."""
+        self._has_ended = False  # after a request that offers an upgrade, as another protocol may follow
         self._handler = handler
         self._framing = FramingLimit()
         self._body = BodyBuffer()
@@ -82,7 +112,9 @@
         self._target = b""
         self._headers: list[Header] = []
         self._body.clear()
-        self._content_length = 0
+        self._method = b""
+        self._body_length = 0  # may be `CHUNKED_LENGTH`
+        self._offers_upgrade = False
         self._head_bytes = 0
         self._in_head = False
         self.in_message = False
@@ -104,28 +136,47 @@
     @property
     def expected_body_bytes(self) -> int:
         """Number of bytes that are still expected of a body whose length is known; 0 outside of a body."""
-        return max(0, self._content_length - self._body.size_bytes)
+        return max(0, self._body_length - self._body.size_bytes)
 
     @property
     def has_stopped(self) -> bool:
-        """Whether the parser accepts no more data, after an error or an upgrade."""
-        return self.is_upgrade or self.error is not None
+        """Whether the parser accepts no more data, after an error or a request that offers an upgrade."""
+        return self._has_ended or self.error is not None
 
     def feed(self, data: bytes) -> None:
         """Parse received data and call the handler for each request that it completes."""
         for piece in (data,) if len(data) <= self.expected_body_bytes else split_read(data):
             self._framing.add(len(piece))
-            try:
-                self._parser.feed_data(piece)
-            except httptools.HttpParserUpgrade:
-                self.is_upgrade = True
-            except httptools.HttpParserError as error:
-                self._record_error(400, f"malformed: {error}")
+            self._parse(piece)
             if self._framing.is_exceeded:
                 self._record_error(431, "a head or trailer too long")
             if self.has_stopped:
                 return
 
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            [head_bytes] = upgrade.args
+            self._decline_upgrade(data[head_bytes:])
+        except httptools.HttpParserError as error:
+            self._record_error(400, f"malformed: {error}")
+
+    def _decline_upgrade(self, data: bytes) -> None:
+        """Continue with the `data` after the head of a request that offers an upgrade.
+
+        httptools ends such a request with its head and leaves the rest to its caller.  As the gateway does
+        not upgrade, the body follows as in any other request (RFC 9110, 7.8), and another parser reads it.
+        """
+        if not self.in_message:  # the request has no body, or is invalid
+            self._has_ended = True
+            return
+        is_chunked = self._body_length == CHUNKED_LENGTH
+        framing = b"Transfer-Encoding: chunked" if is_chunked else b"Content-Length: %d" % self._body_length
+        callbacks = BodyCallbacks(self.on_body, self.on_header, self._complete)
+        self._parser = httptools.HttpRequestParser(callbacks)
+        self._parse(b"POST / HTTP/1.1\r\nConnection: close\r\n%b\r\n\r\n%b" % (framing, data))
+
     def stop(self) -> None:
         """Discard the partly received request, which still counts as such; nothing more is parsed."""
         in_message = self.in_message
@@ -169,6 +220,8 @@
         self._in_head = False
         if self.error is not None:
             return
+        self._method = self._parser.get_method()
+        self._offers_upgrade = self._parser.should_upgrade()
         fields = [header for header in self._headers if header[0].lower() in CHECKED_HEADERS]
         if fields:
             self._check_fields(fields)
@@ -176,7 +229,7 @@
     def _check_fields(self, fields: list[Header]) -> None:
         """Check the `CHECKED_HEADERS` of a head, and send 100 Continue if the client waits for it."""
         try:
-            self._content_length = max(0, parse_body_length(fields, MAX_BODY_BYTES) or 0)
+            self._body_length = parse_body_length(fields, MAX_BODY_BYTES) or 0
         except BodyLengthError as error:
             self._record_error(413, str(error))
         except FramingError as error:
@@ -197,18 +250,22 @@
             self._body.append(body)
 
     def on_message_complete(self) -> None:
+        """Complete the request, unless httptools has skipped its body (see `_decline_upgrade`)."""
+        if not (self._offers_upgrade and self._body_length):
+            self._complete()
+
+    def _complete(self) -> None:
         """Pass the complete request to the handler."""
         self.in_message = False
         if self.error is not None:
             return
-        parser = self._parser
         self._handler.on_request(
             ParsedRequest(
-                parser.get_method(),
+                self._method,
                 self._target,
                 self._headers,
                 self._body.content(),
-                parser.should_keep_alive(),
+                not self._offers_upgrade and self._parser.should_keep_alive(),
             )
         )
         self._reset()
--- a/gateway/client/response_queue.py
+++ b/gateway/client/response_queue.py
@@ -64,11 +64,6 @@
         """Size in memory of the responses, and of the exchanges unless there are only a few."""
         return self.response_bytes + (len(self) * EXCHANGE_BYTES if len(self) > MAX_PIPELINED else 0)
 
-    @property
-    def last(self) -> Exchange | None:
-        """The exchange of the latest request; None if no request is open."""
-        return self[-1] if self else None
-
     @property
     def is_full(self) -> bool:
         """Whether reading must pause until a response has been written."""
