The body of an interim response is no part of the final one

Callers could get 200 with "evildone" where an endpoint had sent "evil" as the body of a 199 and "done" as that of the 200.

Cause: `ResponseParser` took every status below 200 for an interim response and discarded its headers, but not its body. httptools ends 100, 102 and 103 with their heads; for 104 to 199, and below 100, it reads a body by Content-Length, chunks or up to the end of the stream.

Change: a body before the final head is an error at its first byte, and so is a status below 100. Interim responses without a body are ignored as before, whatever their headers (RFC 9112, 6.3).

--- a/gateway/body_buffer.py
+++ b/gateway/body_buffer.py
@@ -30,9 +30,9 @@
         """Size in memory, approximately."""
         return self.size_bytes + (len(self._blocks) + bool(self._tail)) * OBJECT_BYTES
 
-    def append(self, data: bytes) -> None:
-        """Append a part of the body."""
-        self.size_bytes += len(data)
+    def append(self, data: bytes) -> int:
+        """Append a part of the body; return the length of the received part."""
+        size_bytes = self.size_bytes = self.size_bytes + len(data)
         if self._tail:
             data = self._tail + data
         if len(data) < MIN_BLOCK_BYTES:
@@ -40,6 +40,7 @@
         else:
             self._blocks.append(data)
             self._tail = b""
+        return size_bytes
 
     def clear(self) -> None:
         """Discard the body."""
--- a/gateway/body_framing.py
+++ b/gateway/body_framing.py
@@ -15,6 +15,7 @@
     "AmbiguousFramingError",
     "BodyLengthError",
     "FramingError",
+    "InterimBodyError",
     "UnknownCodingError",
     "parse_body_length",
 ]
@@ -56,6 +57,13 @@
         super().__init__("a body too long")
 
 
+class InterimBodyError(FramingError):
+    """An interim response has a body, which HTTP does not allow (RFC 9112, 6.3)."""
+
+    def __init__(self) -> None:
+        super().__init__("an interim response with a body")
+
+
 def parse_body_length(headers: list[Header], max_bytes: int) -> int | None:
     """Return the length of the body of a message, bytes; `CHUNKED_LENGTH` if it is chunked.
 
--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -5,8 +5,8 @@
 import httptools
 
 from ..body_buffer import BodyBuffer
-from ..body_framing import FramingError, parse_body_length
-from ..framing import HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, FramingLimit, split_read
+from ..body_framing import FramingError, InterimBodyError, parse_body_length
+from ..framing import HEADER_OBJECT_BYTES, MAX_HEAD_BYTES, PIECE_BYTES, FramingLimit, split_read
 from ..messages import MAX_BODY_BYTES, Header, Response, field_value
 
 __all__ = [
@@ -14,12 +14,15 @@
     "ExtraResponseError",
     "HeadTooLongError",
     "InvalidResponseError",
+    "InvalidStatusError",
     "MalformedResponseError",
     "ResponseParser",
     "UnreadableBodyError",
     "UpgradeError",
 ]
 
+FIRST_STATUS = 100
+"""Lowest valid status (RFC 9110, 15)."""
 FIRST_FINAL_STATUS = 200
 """Lowest status of a final response; lower ones are interim (RFC 9110, 15.2)."""
 
@@ -39,8 +42,15 @@
         super().__init__("response head or trailer too long")
 
 
+class InvalidStatusError(InvalidResponseError):
+    """The status is below the range of HTTP."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"invalid status {status}")
+
+
 class UnreadableBodyError(InvalidResponseError):
-    """The response head does not delimit a body that can be read."""
+    """The response has a body that cannot be read, or must not have one."""
 
     def __init__(self, cause: FramingError) -> None:
         super().__init__(f"unreadable response body: {cause}")
@@ -77,13 +87,13 @@
 
     __slots__ = (
         "_body",
-        "_final_status",
         "_framing",
         "_header_bytes",
         "_headers",
         "_is_delimited",
         "_is_head_complete",
         "_parser",
+        "_status",
         "error",
         "has_begun",
         "is_complete",
@@ -102,9 +112,9 @@
         self._headers: list[Header] = []
         self._body.clear()
         self._header_bytes = 0  # total length of names and values
-        self._is_head_complete = False
+        self._is_head_complete = False  # that of the final response
         self._is_delimited = False  # by a header; otherwise the body ends when the connection closes
-        self._final_status = 0  # set once the response is complete
+        self._status = 0  # of the first response, or of an interim one before it; 0 before its head
         self.is_complete = False
         """Whether a final response is completely received, without an error up to its end."""
         self.error: InvalidResponseError | None = None
@@ -142,7 +152,7 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes; the rest of an invalid response is discarded."""
         self.has_begun = True
-        for piece in split_read(data):
+        for piece in (data,) if len(data) <= PIECE_BYTES else split_read(data):
             self._framing.add(len(piece))
             try:
                 self._parser.feed_data(piece)
@@ -159,13 +169,12 @@
         """Handle the end of the stream and return whether it completes the response."""
         if not self._is_head_complete or self._is_delimited or self.is_complete or self.error is not None:
             return False
-        self._final_status = self._parser.get_status_code()
         self.is_complete = True
         return True
 
     def response(self) -> Response:
         """Return the complete response."""
-        return Response(self._final_status, self._headers, self._body.content())
+        return Response(self._status, self._headers, self._body.content())
 
     def release(self) -> None:
         """Break the reference cycle with httptools' parser, which only the garbage collector would free."""
@@ -188,9 +197,14 @@
 
     def on_headers_complete(self) -> None:
         """Check that the body can be read, once the head is complete."""
-        self._is_head_complete = True
         if self.is_complete:  # the head belongs to a second message
             return
+        status = self._status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            if status < FIRST_STATUS:
+                self.error = InvalidStatusError(status)
+            return
+        self._is_head_complete = True
         try:
             self._is_delimited = parse_body_length(self._headers, MAX_BODY_BYTES) is not None
         except FramingError as error:
@@ -201,19 +215,17 @@
         self._framing.restart()
         if self.is_complete:
             return
-        self._body.append(body)
-        if self._body.size_bytes > MAX_BODY_BYTES:
+        if not self._is_head_complete:
+            self.error = UnreadableBodyError(InterimBodyError())
+        elif self._body.append(body) > MAX_BODY_BYTES:
             self.error = BodyTooLongError()
             self._body.clear()
 
     def on_message_complete(self) -> None:
         """Complete the response, or discard the head of an interim one."""
-        status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS:
+        if not self._is_head_complete:
             self._headers.clear()
-            self._is_head_complete = False
-        elif not self.is_complete and self.error is None:  # a second message must not change the status
-            self._final_status = status
+        elif not self.is_complete and self.error is None:  # a second message must not change the response
             self.is_complete = True
             # Must be read here: httptools discards it when this callback returns.
             self.keeps_alive = self._parser.should_keep_alive()
--- a/tests/gateway/test_response_parser.py
+++ b/tests/gateway/test_response_parser.py
@@ -144,6 +144,44 @@
     await received.wait_closed()
 
 
+@pytest.mark.parametrize("status", [b"000", b"050", b"099", b"104", b"199"])
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 4\r\n\r\nevil",
+        b"Transfer-Encoding: chunked\r\n\r\n4\r\nevil\r\n0\r\n\r\n",
+        b"Transfer-Encoding: gzip\r\n\r\nevil",
+    ],
+    ids=["length", "chunked", "end of stream"],
+)
+async def test_the_body_of_an_interim_response_is_no_part_of_the_final_one(
+    status: bytes, rest: bytes
+) -> None:
+    """Found beside review/6: httptools reads a body after some statuses below 200, and it was served."""
+    harness, endpoint = UpstreamHarness(), await FakeEndpoint(reply=None).start()
+    harness.update_endpoint(endpoint.address)
+    _, result = harness.start_attempt(timeout_ns=3600 * SECOND)
+    received = await endpoint.received.get()
+    received.reply(b"HTTP/1.1 %b Early\r\n%b" % (status, rest) + OK_RESPONSE)
+    assert await result == (Outcome.INVALID_RESPONSE, None)
+    await received.wait_closed()
+
+
+@pytest.mark.parametrize("status", [b"100", b"102", b"103", b"199"])
+@pytest.mark.parametrize("headers", [b"", b"Link: </x>\r\n", b"Content-Length: 0\r\n"])
+def test_interim_responses_without_a_body_are_ignored(status: bytes, headers: bytes) -> None:
+    interim = b"HTTP/1.1 %b Early\r\n%b\r\n" % (status, headers)
+    for division in (1, 7, 4096):
+        parser = ResponseParser()
+        data = interim * 2 + OK_RESPONSE
+        for start in range(0, len(data), division):
+            assert not parser.is_complete
+            parser.feed(data[start : start + division])
+        assert parser.is_complete
+        assert parser.error is None
+        assert parser.response() == (200, [(b"Content-Length", b"4")], b"done")
+
+
 async def test_response_followed_by_other_data_is_invalid() -> None:
     harness, endpoint = UpstreamHarness(), await FakeEndpoint(reply=None).start()
     harness.update_endpoint(endpoint.address)
