Discovery: interim and further responses do not end or change a list

An interim response of discovery (103, say) ended a fetch with whatever had arrived of the list, or failed the call, depending on how the bytes were divided into reads. Of several responses in one read the last status counted: a list behind a 503 was taken.

Cause: `ResponseReader` set its status and `is_complete` for every message, and appended every body.

Change: interim responses are ignored, but one with a body fails the call; the first final response is the response, and what follows it is ignored.

--- a/gateway/discovery/response_reader.py
+++ b/gateway/discovery/response_reader.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from ..body_framing import FramingError, parse_body_length
+from ..body_framing import FramingError, InterimBodyError, parse_body_length
 from ..framing import FramingLimit, split_read
 from ..messages import Header, field_value
 from .errors import HeadTooLongError, MalformedResponseError, UnexpectedStatusError
@@ -14,6 +14,8 @@
 __all__ = ["ResponseReader"]
 
 STATUS_OK = 200
+INTERIM_STATUSES = range(100, 200)
+"""Statuses of responses that a final one follows (RFC 9110, 15.2)."""
 
 
 class ResponseReader:
@@ -29,12 +31,13 @@
         self._splits_lines = splits_lines
         self._framing = FramingLimit()
         self._parser = httptools.HttpResponseParser(self)
-        self._status = 0
+        self._status: int | None = None  # of the final response, once its head is complete
         self._headers: list[Header] = []
         self._error: MalformedResponseError | None = None
         self._lines: list[bytes] = []
         self._buffer = bytearray()
         self.is_complete = False
+        """Whether a final response is completely received; a second one is ignored."""
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -47,7 +50,7 @@
                 self._parser.feed_data(piece)
             except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
                 raise MalformedResponseError(error) from None
-            if self._status not in (0, STATUS_OK):  # 0: the head is still incomplete
+            if self._status is not None and self._status != STATUS_OK:
                 raise UnexpectedStatusError(self._status)
             if self._error is not None:
                 raise self._error
@@ -75,12 +78,18 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers, which arrive after the head, are dropped."""
-        if not self._status:
+        if self._status is None:
             self._headers.append((name, field_value(value)))
 
     def on_headers_complete(self) -> None:
-        """Store the status of the response, and check that the body can be read."""
-        self._status = self._parser.get_status_code()
+        """Store the status of a final response, and check that its body can be read."""
+        status = self._parser.get_status_code()
+        if self.is_complete:  # the head belongs to a second response
+            return
+        if status in INTERIM_STATUSES:
+            self._headers.clear()
+            return
+        self._status = status
         try:
             parse_body_length(self._headers, sys.maxsize)  # lines are limited, bodies are not
         except FramingError as error:
@@ -89,7 +98,9 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, and split off the complete lines."""
         self._framing.restart()
-        if self._error is not None:
+        if self._status is None:
+            self._error = MalformedResponseError(InterimBodyError())
+        if self.is_complete or self._error is not None:
             return
         self._buffer += body
         if self._splits_lines and b"\n" in body:
@@ -98,5 +109,6 @@
             self._buffer = bytearray(partial_line)
 
     def on_message_complete(self) -> None:
-        """Mark the response as complete."""
-        self.is_complete = True
+        """Mark a final response as complete."""
+        if self._status is not None:
+            self.is_complete = True
