A signal to a gateway that is ending does not change its exit status

test_a_short_soak_breaks_no_rule can fail with "n0 ended with -1": a SIGHUP in the last milliseconds of a process that ends after SIGTERM killed it.

Printed at each stage: uvloop 0.23 leaves its handlers in place when it closes, and they are still there at `atexit`. The interpreter then gives every signal with a Python handler its default action back, before it deletes its modules; a signal in that time kills the process.

Change: the three handled signals are blocked once the shutdown is complete, before the loop closes. The process has one thread. What comes later stays pending until the process has ended.

Evidence: the test sends all three signals from an object that the teardown of the modules deletes; it failed with -1 before and passes now.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -22,6 +22,7 @@
 MAX_LOG_LINES_PER_S = 10
 """Limit on log lines per second, so that an attacker cannot make the gateway spend its time on logging."""
 EXIT_BAD_CONFIGURATION = 2
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class LogRateLimit(logging.Filter):
@@ -47,6 +48,8 @@
 
 async def _run(configuration: Configuration) -> None:
     await Gateway(configuration, asyncio.get_running_loop()).run()
+    # The interpreter restores their default actions some time before it has ended.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 def main() -> int:
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -131,6 +132,24 @@
     assert await process.wait() == 0
 
 
+@pytest.mark.parametrize("moment", ["exit", "teardown"])
+async def test_a_signal_to_a_process_that_is_ending_does_not_change_its_status(
+    moment: str, tmp_path: Path
+) -> None:
+    """Issue 38: a gateway that had ended after SIGTERM was killed by a SIGHUP in its last milliseconds."""
+    discovery = await FakeDiscovery().start()
+    write_config(tmp_path / "c", discovery)
+    command = [sys.executable, "-B", "-m", "tests.support.exit_signals", moment]
+    process, _ = await start_gateway(tmp_path / "c", command=command)
+    process.send_signal(signal.SIGTERM)
+    assert process.stderr is not None
+    log = (await process.stderr.read()).decode()
+    assert await process.wait() == 0
+    assert {"SIGHUP", "SIGTERM", "SIGINT"} == {
+        line.split()[1] for line in log.splitlines() if line.startswith("sent ")
+    }
+
+
 async def test_sighup_changes_the_discovery_address_and_an_invalid_file_changes_nothing(
     tmp_path: Path,
 ) -> None:
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import sys
+from collections.abc import Sequence
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -47,11 +48,12 @@
 
 
 async def start_gateway(
-    path: Path, max_descriptors: int = 0, **environment: str
+    path: Path, max_descriptors: int = 0, command: Sequence[str] = COMMAND, **environment: str
 ) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
     """Start a gateway; return its process and its address, which it logs once it listens.
 
-    `max_descriptors` limits the file descriptors of the process; 0 leaves the limit as inherited.
+    `max_descriptors` limits the file descriptors of the process; 0 leaves the limit as inherited.  `command`
+    is the program and its arguments.
     """
 
     def limit_descriptors() -> None:
@@ -59,7 +61,7 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (max_descriptors, max_descriptors))
 
     process = await asyncio.create_subprocess_exec(
-        *COMMAND,
+        *command,
         cwd=ROOT,
         stderr=asyncio.subprocess.PIPE,
         preexec_fn=limit_descriptors,
