The headers of a response without a body do not make it unreadable

Since a 204 or 304 with "Transfer-Encoding: gzip, chunked" was an invalid response and not an error: for the balancer another outcome, and the connection closed. A 304 may carry the coding or the length of the response that it stands for (RFC 9112, 6.1; RFC 9110, 8.6).

--- a/gateway/upstream/response_parser.py
+++ b/gateway/upstream/response_parser.py
@@ -25,6 +25,8 @@
 """Lowest valid status (RFC 9110, 15)."""
 FIRST_FINAL_STATUS = 200
 """Lowest status of a final response; lower ones are interim (RFC 9110, 15.2)."""
+BODILESS_STATUSES = frozenset((204, 304))
+"""Statuses of final responses without a body; their headers may describe that of another response."""
 
 
 class InvalidResponseError(Exception):
@@ -208,7 +210,8 @@
         try:
             self._is_delimited = parse_body_length(self._headers, MAX_BODY_BYTES) is not None
         except FramingError as error:
-            self.error = UnreadableBodyError(error)
+            if status not in BODILESS_STATUSES:
+                self.error = UnreadableBodyError(error)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, up to the limit."""
--- a/tests/gateway/test_transfer_codings.py
+++ b/tests/gateway/test_transfer_codings.py
@@ -80,6 +80,17 @@
     assert not parser.feed_eof()
 
 
+@pytest.mark.parametrize("status", [b"204", b"304"])
+@pytest.mark.parametrize("header", [b"Transfer-Encoding: gzip, chunked", b"Content-Length: 70000"])
+async def test_a_response_that_has_no_body_is_read_whatever_its_headers(status: bytes, header: bytes) -> None:
+    """The headers of a 304 may describe a body that it does not have (RFC 9110, 8.6; RFC 9112, 6.1)."""
+    harness, endpoint = UpstreamHarness(), await FakeEndpoint(reply=None).start()
+    harness.update_endpoint(endpoint.address)
+    _, result = harness.start_attempt()
+    (await endpoint.received.get()).reply(b"HTTP/1.1 %b No\r\n%b\r\n\r\n" % (status, header))
+    assert await result == (Outcome.ERROR, None)
+
+
 @either_way
 @pytest.mark.parametrize("coding", UNREADABLE_CODINGS)
 def test_a_list_in_another_coding_is_not_read(coding: bytes, feed: Feed) -> None:
