Discovery: only the headers that delimit a body are stored

Since the reader of discovery stored every header of a response until the call ended: nothing of that is charged to the memory budget. Now it stores Content-Length and Transfer-Encoding, until the head is complete.

No behaviour changes; tests/gateway/test_discovery*.py and test_transfer_codings.py: 299 passed.

--- a/gateway/discovery/response_reader.py
+++ b/gateway/discovery/response_reader.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from ..body_framing import FramingError, InterimBodyError, parse_body_length
+from ..body_framing import FRAMING_HEADERS, FramingError, InterimBodyError, parse_body_length
 from ..framing import FramingLimit, split_read
 from ..messages import Header, field_value
 from .errors import HeadTooLongError, MalformedResponseError, UnexpectedStatusError
@@ -32,7 +32,7 @@
         self._framing = FramingLimit()
         self._parser = httptools.HttpResponseParser(self)
         self._status: int | None = None  # of the final response, once its head is complete
-        self._headers: list[Header] = []
+        self._framing_headers: list[Header] = []
         self._error: MalformedResponseError | None = None
         self._lines: list[bytes] = []
         self._buffer = bytearray()
@@ -77,23 +77,24 @@
         del self._parser
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers, which arrive after the head, are dropped."""
-        if self._status is None:
-            self._headers.append((name, field_value(value)))
+        """Store a header that delimits the body; trailers, which arrive after the head, are dropped."""
+        if self._status is None and name.lower() in FRAMING_HEADERS:
+            self._framing_headers.append((name, field_value(value)))
 
     def on_headers_complete(self) -> None:
         """Store the status of a final response, and check that its body can be read."""
-        status = self._parser.get_status_code()
         if self.is_complete:  # the head belongs to a second response
             return
+        status = self._parser.get_status_code()
         if status in INTERIM_STATUSES:
-            self._headers.clear()
+            self._framing_headers.clear()
             return
         self._status = status
         try:
-            parse_body_length(self._headers, sys.maxsize)  # lines are limited, bodies are not
+            parse_body_length(self._framing_headers, sys.maxsize)  # lines are limited, bodies are not
         except FramingError as error:
             self._error = MalformedResponseError(error)
+        self._framing_headers.clear()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, and split off the complete lines."""
