Empty list elements before chunked are ignored, as they were in responses

Since a response or a list of discovery with "Transfer-Encoding: , chunked" was rejected, though httptools decodes it and RFC 9110, 5.6.1 has recipients ignore empty elements.

Only values other than the plain "chunked" take longer.

--- a/gateway/body_framing.py
+++ b/gateway/body_framing.py
@@ -81,7 +81,8 @@
         if length is not None:
             raise AmbiguousFramingError
         if lower_name == TRANSFER_ENCODING:
-            if value != CHUNKED and value.lower() != CHUNKED:
+            # Empty elements before it are ignored (RFC 9110, 5.6.1); httptools does not decode one after it.
+            if value != CHUNKED and value.lstrip(b", \t").lower() != CHUNKED:
                 raise UnknownCodingError
             length = CHUNKED_LENGTH
             continue
--- a/tests/gateway/test_transfer_codings.py
+++ b/tests/gateway/test_transfer_codings.py
@@ -44,7 +44,8 @@
     b"",
 )
 """Values of Transfer-Encoding that a body must not have, as the gateway has not offered them in TE."""
-CHUNKED_CODINGS = (b"chunked", b"Chunked", b"CHUNKED", b"\t chunked  ")
+CHUNKED_CODINGS = (b"chunked", b"Chunked", b"CHUNKED", b"\t chunked  ", b", chunked", b",\t,Chunked")
+"""Values that mean chunked alone; empty elements of a list are ignored (RFC 9110, 5.6.1)."""
 LINE = b'{"generation": 43, "reset": false, "instances": []}\n'
 CHUNKED_LINE = b"%x\r\n%b\r\n" % (len(LINE), LINE)
 LAST_CHUNK = b"0\r\n\r\n"
